--- /dev/null
+++ b/crates/wirehost/src/host.rs
@@ -0,0 +1,285 @@
+//! Many instances in one process, each with its own decisions, sessions in hand and timer.
+use crate::wire::{Frame, Reader, Reply, HEADER};
+use std::collections::BTreeMap;
+use walnutline::choice::{Chooser, Ending, Place, Request};
+use walnutline::fleet::{Listed, Listing};
+use walnutline::hand::Hand;
+use walnutline::ids::{CellNo, GroupNo, KindNo, Ms, ServerId, SessId, TitleId, ZoneNo};
+use walnutline::terms::Terms;
+
+struct Instance {
+    chooser: Chooser,
+    hand: Hand,
+    /// The earliest timer that is out.
+    bell_at: Option<Ms>,
+}
+
+#[derive(Default)]
+pub struct Host {
+    instances: BTreeMap<u32, Instance>,
+    pages: BTreeMap<u16, Vec<Listed>>,
+}
+
+impl Host {
+    /// Answers one batch, or says what is wrong with it.
+    pub fn batch(&mut self, frame: &Frame) -> Result<Vec<u8>, String> {
+        let mut reply = Reply::new(frame.index);
+        let mut touched = Vec::new();
+        let mut r = Reader { bytes: &frame.bytes, at: HEADER };
+        for n in 0..frame.records {
+            let start = r.at;
+            let who = self
+                .event(&mut r, frame.clock, &mut reply)
+                .map_err(|e| format!("batch {}: record {n} at byte {start}: {e}", frame.index))?;
+            if let Some(who) = who {
+                if !touched.contains(&who) {
+                    touched.push(who);
+                }
+            }
+        }
+        if r.at != frame.bytes.len() {
+            let extra = frame.bytes.len() - r.at;
+            return Err(format!("batch {}: byte {}: {extra} bytes after the last record", frame.index, r.at));
+        }
+        for who in touched {
+            if let Some(instance) = self.instances.get_mut(&who) {
+                instance.attend(who, frame.clock, &mut reply);
+            }
+        }
+        Ok(reply.finish())
+    }
+
+    /// One record; returns the instance that it was for.
+    fn event(&mut self, r: &mut Reader, now: Ms, reply: &mut Reply) -> Result<Option<u32>, String> {
+        let code_at = r.at;
+        let code = r.u8()?;
+        if code == 13 {
+            let page = r.u16()?;
+            let lines = r.u32()?;
+            let list = (0..lines).map(|_| list_line(r)).collect::<Result<_, _>>()?;
+            self.pages.insert(page, list);
+            return Ok(None);
+        }
+        if !(1..=13).contains(&code) {
+            return Err(format!("byte {code_at}: unknown event code {code}"));
+        }
+        let who = r.u32()?;
+        if code == 1 {
+            let seed = r.u64()?;
+            let len = r.u32()? as usize;
+            let info = std::str::from_utf8(r.take(len)?).map_err(|e| format!("settings: {e}"))?;
+            let terms = Terms::parse(info).map_err(|e| format!("settings: {e}"))?;
+            let chooser = Chooser::new(terms, seed, now);
+            self.instances.insert(who, Instance { chooser, hand: Hand::default(), bell_at: None });
+            return Ok(Some(who));
+        }
+        let pages = &self.pages;
+        let mut known = self.instances.get_mut(&who);
+        match code {
+            2 => {
+                let (_revision, page, form) = (r.u64()?, r.u16()?, r.u8()?);
+                if form > 3 {
+                    return Err(format!("unknown form of list {form}"));
+                }
+                if form < 3 {
+                    let list = pages.get(&page).ok_or_else(|| format!("list {page} was never sent"))?;
+                    if let Some(i) = known {
+                        match form {
+                            0 => list.iter().for_each(|l| i.chooser.listed(l.clone(), now)),
+                            _ => i.chooser.listed_all(list.clone(), now),
+                        }
+                    }
+                }
+            }
+            3 => {
+                let id = SessId(r.u64()?);
+                let top = r.f32()?;
+                let group = r.u16()?;
+                let (_estimate, _bits, _key, _tenant) = (r.f64()?, r.u8()?, r.u64()?, r.u32()?);
+                let (title, home, left, span) = (r.u64()?, r.f32()?, r.f64()?, r.f32()?);
+                if let Some(i) = known {
+                    let request = i.request(group, title, home, span, top, left)?;
+                    i.chooser.taken(&mut i.hand, id, request, now);
+                    let place = i.chooser.place(&mut i.hand, id, now);
+                    answer(reply, who, id, place);
+                }
+            }
+            4 => {
+                let (id, _leg, _server, _took) = (SessId(r.u64()?), r.u16()?, r.u32()?, r.f64()?);
+                if let Some(i) = known {
+                    i.chooser.started(&mut i.hand, id, now);
+                }
+            }
+            5 => {
+                let (id, how, server, over) = (SessId(r.u64()?), r.u16()?, ServerId(r.u32()?), r.u8()?);
+                let (_took, _leg) = (r.f64()?, r.u16()?);
+                let load = values(r)?;
+                let ending = ending(how)?;
+                if let Some(i) = known {
+                    if over != 0 {
+                        if let Some(s) = i.hand.sess.get_mut(&id) {
+                            s.answered = true;
+                        }
+                    }
+                    let place = i.chooser.after(&mut i.hand, id, ending, now);
+                    i.chooser.report(&i.hand, server, &load, now);
+                    answer(reply, who, id, place);
+                }
+            }
+            6 => {
+                let id = SessId(r.u64()?);
+                if let Some(i) = known {
+                    i.chooser.left(&mut i.hand, id);
+                }
+            }
+            7 => {
+                let _name = r.u64()?;
+                if let Some(i) = &mut known {
+                    i.bell_at = i.bell_at.filter(|t| *t > now);
+                }
+            }
+            8 => {
+                let (server, how, _took) = (ServerId(r.u32()?), r.u16()?, r.f64()?);
+                let load = values(r)?;
+                let answered = ending(how)? == Ending::Done;
+                if let Some(i) = known {
+                    i.chooser.probed(server, answered, now);
+                    i.chooser.report(&i.hand, server, &load, now);
+                }
+            }
+            9 => {
+                let (_from, n) = (r.u32()?, r.u16()? as usize);
+                r.take(n)?;
+            }
+            10 => {
+                self.instances.remove(&who);
+            }
+            11 => {
+                let (id, group, _tenant, _key) = (SessId(r.u64()?), r.u16()?, r.u32()?, r.u64()?);
+                let (title, left, _estimate) = (r.u64()?, r.f64()?, r.f64()?);
+                let (home, span, top, _bits) = (r.f32()?, r.f32()?, r.f32()?, r.u8()?);
+                let server = ServerId(r.u32()?);
+                if let Some(i) = known {
+                    let request = i.request(group, title, home, span, top, left)?;
+                    i.chooser.under_way(&mut i.hand, id, request, server, now);
+                }
+            }
+            _ => {
+                let (id, server, sort) = (SessId(r.u64()?), ServerId(r.u32()?), r.u8()?);
+                let (_leg, x) = (r.u16()?, r.f32()? as f64);
+                if let Some(i) = known {
+                    match sort {
+                        1 => i.chooser.share_heard(&i.hand, server, x, now),
+                        2 => i.chooser.rung_told(&mut i.hand, id, x as u8),
+                        3 => i.chooser.link_heard(&i.hand, server, x, now),
+                        4 => i.chooser.uplink_heard(&i.hand, server, x, now),
+                        _ => return Err(format!("unknown kind of note {sort}")),
+                    }
+                }
+            }
+        }
+        Ok(Some(who))
+    }
+}
+
+impl Instance {
+    fn request(
+        &self,
+        group: u16,
+        title: u64,
+        home: f32,
+        span: f32,
+        top: f32,
+        left: Ms,
+    ) -> Result<Request, String> {
+        if group as usize >= self.chooser.terms.groups.len() {
+            return Err(format!("class {group} is not in the settings"));
+        }
+        Ok(Request {
+            group: GroupNo(group),
+            title: TitleId(title),
+            home: CellNo(home as u32),
+            span: span as u32,
+            top: top as u8,
+            left,
+        })
+    }
+
+    /// Does what is due and sees to the timer.
+    fn attend(&mut self, who: u32, now: Ms, reply: &mut Reply) {
+        let due = self.chooser.wait(&mut self.hand, now);
+        for (id, rung) in due.rungs {
+            reply.record(6, who).put(&id.0.to_le_bytes()).put(&[rung]);
+        }
+        for server in due.probes {
+            reply.record(7, who).put(&server.0.to_le_bytes());
+        }
+        for id in due.place {
+            let place = self.chooser.place(&mut self.hand, id, now);
+            answer(reply, who, id, place);
+        }
+        for line in due.log {
+            reply.record(11, who).put(&(line.len() as u16).to_le_bytes()).put(line.as_bytes());
+        }
+        if self.bell_at.is_none_or(|t| t > due.again_at) {
+            self.bell_at = Some(due.again_at);
+            reply.record(13, who).put(&0u64.to_le_bytes()).put(&due.again_at.to_le_bytes());
+        }
+    }
+}
+
+fn answer(reply: &mut Reply, who: u32, id: SessId, place: Place) {
+    let id = id.0.to_le_bytes();
+    match place {
+        Place::Setup { server, rung, timeout } => {
+            reply.record(6, who).put(&id).put(&[rung]);
+            reply.record(4, who).put(&id).put(&timeout.to_le_bytes()).put(&server.0.to_le_bytes());
+        }
+        Place::BusyReply { come_back } => {
+            reply.record(2, who).put(&id).put(&come_back.unwrap_or(0.0).to_le_bytes());
+        }
+        Place::TornDown => {
+            reply.record(8, who).put(&id);
+        }
+        Place::NotYet | Place::Nothing => {}
+    }
+}
+
+fn ending(code: u16) -> Result<Ending, String> {
+    Ok(match code {
+        0 => Ending::Errored,
+        1 => Ending::Done,
+        2 => Ending::BusyReplied,
+        3 => Ending::TimedOut,
+        4 => Ending::NoConnection,
+        5 => Ending::Broken,
+        6 => Ending::Withdrawn,
+        7 => Ending::NeverSent,
+        other => return Err(format!("unknown outcome code {other}")),
+    })
+}
+
+fn list_line(r: &mut Reader) -> Result<Listed, String> {
+    let (id, zone, kind, cell) = (r.u32()?, r.u8()?, r.u8()?, r.u16()?);
+    let listing = match r.u8()? {
+        0 => Listing::Draining,
+        1 => Listing::Ready,
+        2 => Listing::Gone,
+        other => return Err(format!("byte {}: unknown availability {other}", r.at - 1)),
+    };
+    let (weight, started) = (r.f32()? as f64, r.f64()?);
+    Ok(Listed {
+        id: ServerId(id),
+        zone: ZoneNo(zone),
+        kind: KindNo(kind),
+        cell: CellNo(cell as u32),
+        listing,
+        weight,
+        started: (started != 0.0).then_some(started),
+    })
+}
+
+fn values(r: &mut Reader) -> Result<Vec<f64>, String> {
+    let n = r.u8()?;
+    (0..n).map(|_| Ok(r.f32()? as f64)).collect()
+}
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,86 @@
+//! What a front holds of the servers: one record each, and one for each rack's uplink.
+use crate::ids::{CellNo, KindNo, Ms, RackNo, ServerId, ZoneNo};
+use std::collections::BTreeMap;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Listing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One line of the list, as it was told.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Listed {
+    pub id: ServerId,
+    pub zone: ZoneNo,
+    pub kind: KindNo,
+    pub cell: CellNo,
+    pub listing: Listing,
+    pub weight: f64,
+    /// Start of the process, where it was not long ago.
+    pub started: Option<Ms>,
+}
+
+/// A figure that was heard, with the front's own part of it at that moment.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Seen {
+    pub value: f64,
+    pub at: Ms,
+    pub own: f64,
+}
+
+#[derive(Debug, Clone)]
+pub struct Server {
+    pub listed: Listed,
+    /// What is asked of the link over what it gives.
+    pub link: Option<Seen>,
+    /// Streams that it runs or sets up.
+    pub streams: Option<Seen>,
+    /// Failures in a row, and until when it is set aside for them.
+    pub fails: u32,
+    pub aside_until: Ms,
+    /// When its death was witnessed, and when it answered after that.
+    pub died: Option<Ms>,
+    pub back: Option<Ms>,
+    /// SETUPs sent while it was cold.
+    pub sent_cold: Vec<Ms>,
+    pub probe_at: Ms,
+    pub probe_out: bool,
+    /// Sessions there were stepped down; what is heard before this tells of the time before.
+    pub settled_at: Ms,
+    pub over: bool,
+}
+
+impl Server {
+    pub fn new(listed: Listed) -> Self {
+        Server {
+            listed,
+            link: None,
+            streams: None,
+            fails: 0,
+            aside_until: Ms::NEG_INFINITY,
+            died: None,
+            back: None,
+            sent_cold: Vec::new(),
+            probe_at: Ms::NEG_INFINITY,
+            probe_out: false,
+            settled_at: Ms::NEG_INFINITY,
+            over: false,
+        }
+    }
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct Rack {
+    /// What is asked of the uplink over what it gives.
+    pub uplink: Option<Seen>,
+    pub settled_at: Ms,
+    pub over: bool,
+}
+
+#[derive(Debug, Default)]
+pub struct Fleet {
+    pub servers: BTreeMap<ServerId, Server>,
+    pub racks: BTreeMap<RackNo, Rack>,
+}
--- /dev/null
+++ b/src/hand.rs
@@ -0,0 +1,67 @@
+//! The sessions that a front has in hand: requests not yet answered, SETUPs out, sessions playing.
+use crate::ids::{CellNo, GroupNo, Ms, ServerId, SessId, TitleId};
+use crate::terms::Terms;
+use std::collections::BTreeMap;
+
+#[derive(Debug, Clone)]
+pub struct Sess {
+    pub group: GroupNo,
+    pub title: TitleId,
+    /// First cell that holds the title, and how many in a row do.
+    pub home: CellNo,
+    pub span: u32,
+    /// Highest rung that the viewer can use.
+    pub top: u8,
+    pub came: Ms,
+    /// When the viewer gives up.
+    pub until: Ms,
+    pub rung: u8,
+    /// Where its SETUP is out or it plays.
+    pub at: Option<ServerId>,
+    pub playing: bool,
+    /// Its final answer is given; only the outcome of a SETUP is still to come.
+    pub answered: bool,
+    pub setups: u16,
+    /// Servers that did not take it.
+    pub tried: Vec<ServerId>,
+    pub sent: Ms,
+    /// Last change of rung while playing, or the start.
+    pub stepped: Ms,
+    /// The first SETUP that may have run: where, and when it was sent.
+    pub may_have_run: Option<(ServerId, Ms)>,
+    /// When to ask again, while it is held.
+    pub held_until: Option<Ms>,
+}
+
+/// Streams and load, in kB a second, that a front's own sessions put on one server.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Load {
+    pub streams: f64,
+    pub kb: f64,
+}
+
+#[derive(Debug, Default)]
+pub struct Hand {
+    pub sess: BTreeMap<SessId, Sess>,
+}
+
+impl Hand {
+    /// What the sessions in hand ask of each server, by the ladder.
+    pub fn loads(&self, terms: &Terms) -> BTreeMap<ServerId, Load> {
+        let mut sums: BTreeMap<ServerId, Load> = BTreeMap::new();
+        for s in self.sess.values() {
+            if let Some(at) = s.at {
+                let sum = sums.entry(at).or_default();
+                sum.streams += 1.0;
+                sum.kb += terms.rate(s.group, s.rung);
+            }
+        }
+        sums
+    }
+
+    /// Sessions of one title and service group, SETUPs still out included.
+    pub fn seated(&self, title: TitleId, group: GroupNo) -> u32 {
+        let same = |s: &&Sess| s.at.is_some() && s.title == title && s.group == group;
+        self.sess.values().filter(same).count() as u32
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,7 @@
+//! Decisions of a session front: which media server plays a session, at which rung, and what to do
+//! when that does not work out. [`choice`] decides; the other modules hold plain types and state.
+pub mod choice;
+pub mod fleet;
+pub mod hand;
+pub mod ids;
+pub mod terms;
--- /dev/null
+++ b/src/terms.rs
@@ -0,0 +1,227 @@
+//! The terms that a deployment states when a front starts. Absent options stay `None` or zero as told.
+use crate::ids::{CellNo, GroupNo, Ms, RackNo};
+use std::collections::BTreeMap;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Repeat {
+    Safe,
+    Once,
+    /// Only at servers of this scope, once a SETUP may have run.
+    Keyed(Scope),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scope {
+    All,
+    Zone,
+    Cell,
+}
+
+/// What differs by service group.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Group {
+    pub start_target: Ms,
+    pub utility: f64,
+    pub repeat: Repeat,
+    /// How long after a SETUP its key is remembered.
+    pub window: Ms,
+    pub floor: u8,
+    pub top: u8,
+    pub scale: f64,
+    /// Sessions of one title that a front may hold; 0 for no limit.
+    pub seats: u32,
+}
+
+/// The budget for further SETUPs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Budget {
+    pub free: f64,
+    pub share: f64,
+    pub span: Ms,
+}
+
+/// How a server that has just started must be spared.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdTerms {
+    pub lasts: Ms,
+    pub from: f64,
+    pub multiple: f64,
+    pub span: Ms,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Column {
+    Streams,
+    Link,
+    Uplink,
+    Other,
+}
+
+#[derive(Debug, Clone)]
+pub struct Terms {
+    pub fronts: u32,
+    pub my_number: u32,
+    pub groups: Vec<Group>,
+    /// The ladder: rate of each rung in kB a second, and what it earns.
+    pub rung_kb: Vec<f64>,
+    pub rung_utility: Vec<f64>,
+    pub cells: u32,
+    pub racks: u32,
+    pub kind_streams: Vec<f64>,
+    pub link_kb_per_weight: f64,
+    pub uplink_kb: f64,
+    /// Share of its link from which a server gives busy replies.
+    pub busy_from: Option<f64>,
+    /// How late a delivered share is heard.
+    pub share_delay: Ms,
+    pub switch_cost: Ms,
+    pub columns: Vec<Column>,
+    pub probe_fed: bool,
+    pub may_probe: bool,
+    pub may_message: bool,
+    pub tells_return: bool,
+    pub max_return: Ms,
+    pub max_setups: u16,
+    pub budget: Option<Budget>,
+    pub cold: Option<ColdTerms>,
+}
+
+impl Terms {
+    pub fn rate(&self, group: GroupNo, rung: u8) -> f64 {
+        self.rung_kb[rung as usize] * self.groups[group.0 as usize].scale
+    }
+
+    pub fn rack(&self, cell: CellNo) -> RackNo {
+        RackNo(cell.0 % self.racks)
+    }
+
+    pub fn holds(&self, cell: CellNo, home: CellNo, span: u32) -> bool {
+        (cell.0 % self.cells + self.cells - home.0 % self.cells) % self.cells < span
+    }
+
+    /// Reads `path=value` lines; names the path that is missing or unreadable.
+    pub fn parse(text: &str) -> Result<Terms, String> {
+        let told = Told(text.lines().filter_map(|l| l.split_once('=')).collect());
+        let mut groups = Vec::new();
+        let count: usize = told.need("classes.count")?;
+        for i in 0..count {
+            let scope = match told.text(&format!("classes.{i}.group")) {
+                Some("zone") => Scope::Zone,
+                Some("cell") => Scope::Cell,
+                _ => Scope::All,
+            };
+            let repeat_path = format!("classes.{i}.repeat");
+            groups.push(Group {
+                start_target: told.need(&format!("classes.{i}.aim"))?,
+                utility: told.need(&format!("classes.{i}.worth"))?,
+                repeat: match told.text(&repeat_path) {
+                    Some("repeatable") => Repeat::Safe,
+                    Some("once") => Repeat::Once,
+                    Some("by_key") => Repeat::Keyed(scope),
+                    Some(other) => return Err(format!("{repeat_path}: unreadable value {other:?}")),
+                    None => return Err(format!("{repeat_path}: missing")),
+                },
+                window: told.opt(&format!("classes.{i}.window"))?.unwrap_or(0.0),
+                floor: told.row("family_info.class_floor", i)?.unwrap_or(0),
+                top: told.row("family_info.highest_rung", i)?.unwrap_or(u8::MAX),
+                scale: told.row("family_info.class_scale", i)?.unwrap_or(1.0),
+                seats: told.row("family_info.licence_cap", i)?.unwrap_or(0),
+            });
+        }
+        let rung_kb: Vec<f64> = told.list("family_info.level_kb")?;
+        let rung_utility: Vec<f64> = told.list("family_info.level_worth")?;
+        if groups.is_empty() || rung_kb.is_empty() || rung_kb.len() != rung_utility.len() {
+            return Err("family_info.level_kb: a ladder and a service group are needed".into());
+        }
+        let highest = rung_kb.len() as u8 - 1;
+        for g in &mut groups {
+            g.top = g.top.min(highest);
+            g.floor = g.floor.min(g.top);
+        }
+        let column = |name: &str| match name {
+            "inflight" => Column::Streams,
+            "x0" => Column::Link,
+            "x1" => Column::Uplink,
+            _ => Column::Other,
+        };
+        let columns = told.text("reporting.columns").unwrap_or("");
+        let budget = match told.opt("safety.look_back")? {
+            Some(span) => Some(Budget {
+                span,
+                free: told.opt("safety.min_extra")?.unwrap_or(0.0),
+                share: told.opt("safety.extra_ratio")?.unwrap_or(0.0),
+            }),
+            None => None,
+        };
+        let cold = match told.opt("safety.cold")? {
+            Some(lasts) => Some(ColdTerms {
+                lasts,
+                from: told.need("safety.cold_from")?,
+                multiple: told.need("safety.tip_multiple")?,
+                span: told.need("safety.tip_after")?,
+            }),
+            None => None,
+        };
+        Ok(Terms {
+            fronts: told.opt("balancers")?.unwrap_or(1),
+            my_number: told.opt("my_number")?.unwrap_or(0),
+            groups,
+            rung_kb,
+            rung_utility,
+            cells: told.positive("family_info.places")?,
+            racks: told.positive("family_info.racks")?,
+            kind_streams: told.list("family_info.kind_streams")?,
+            link_kb_per_weight: told.need("family_info.link_unit_kb")?,
+            uplink_kb: told.need("family_info.uplink_kb")?,
+            busy_from: told.opt("family_info.refuses_from")?.filter(|x: &f64| *x > 0.0),
+            share_delay: told.opt("family_info.see")?.unwrap_or(0.0),
+            switch_cost: told.opt::<f64>("family_info.switch_cost_s")?.unwrap_or(0.0) * 1000.0,
+            columns: columns.split(',').filter(|c| !c.is_empty()).map(column).collect(),
+            probe_fed: told.text("reporting.via") == Some("pull"),
+            may_probe: told.text("limits.probes") == Some("true"),
+            may_message: told.text("limits.peer_messages") == Some("true"),
+            tells_return: told.text("limits.retry_after") == Some("true"),
+            max_return: told.opt("limits.max_retry_after")?.unwrap_or(0.0),
+            max_setups: told.need("limits.attempts_cap")?,
+            budget,
+            cold,
+        })
+    }
+}
+
+struct Told<'a>(BTreeMap<&'a str, &'a str>);
+
+impl Told<'_> {
+    fn text(&self, path: &str) -> Option<&str> {
+        self.0.get(path).copied()
+    }
+
+    fn opt<T: std::str::FromStr>(&self, path: &str) -> Result<Option<T>, String> {
+        self.text(path).map(|v| read(path, v)).transpose()
+    }
+
+    fn need<T: std::str::FromStr>(&self, path: &str) -> Result<T, String> {
+        self.opt(path)?.ok_or_else(|| format!("{path}: missing"))
+    }
+
+    fn positive(&self, path: &str) -> Result<u32, String> {
+        match self.need(path)? {
+            0 => Err(format!("{path}: must be above 0")),
+            n => Ok(n),
+        }
+    }
+
+    fn list<T: std::str::FromStr>(&self, path: &str) -> Result<Vec<T>, String> {
+        let text: String = self.need(path)?;
+        text.split(',').map(|v| read(path, v)).collect()
+    }
+
+    fn row<T: std::str::FromStr>(&self, path: &str, i: usize) -> Result<Option<T>, String> {
+        let value = self.text(path).and_then(|t| t.split(',').nth(i));
+        value.map(|v| read(path, v)).transpose()
+    }
+}
+
+fn read<T: std::str::FromStr>(path: &str, value: &str) -> Result<T, String> {
+    value.trim().parse().map_err(|_| format!("{path}: unreadable value {value:?}"))
+}
