--- a/src/choice.rs
+++ b/src/choice.rs
@@ -16,6 +16,8 @@
 /// Use from which a new session gets a lower rung, and the use for each further rung lower.
 const MARK: f64 = 0.8;
 const STEP: f64 = 0.1;
+/// A new session's own rate may fill a link or uplink up to this.
+const ADMIT: f64 = 0.9;
 /// Use over which playing sessions are stepped down.
 const FULL: f64 = 1.0;
 /// A session changes rung at most once in this time.
@@ -40,6 +42,8 @@
 const TURN_HEAD: f64 = 0.5;
 /// An answer is given this long before the viewer gives up.
 const ANSWER_MARGIN: Ms = 30.0;
+/// Fronts take turns of this length at stepping up on a rack, so that they do not fill the same room twice.
+const UP_TURN: Ms = 5_000.0;
 /// How often the rungs are looked over.
 const LOOK: Ms = 250.0;
 /// How often a session that waits for a cold server is looked at again.
@@ -447,34 +451,36 @@
         loads.iter().filter(|(id, _)| self.rack_of(**id) == Some(rack)).map(|(_, l)| l.kb).sum()
     }
 
-    /// Streams at a server: the last report, with what this front has added or ended since.
+    /// Streams at a server: the last report, moved on by this front's own changes since. One not yet heard
+    /// from counts as average: its own streams, and of others as many as elsewhere.
     fn streams(&self, loads: &Loads, server: ServerId) -> f64 {
         let own = |id: &ServerId| loads.get(id).map_or(0.0, |l| l.streams);
-        let now_at = |s: &Server, seen: Seen| (seen.value + own(&s.listed.id) - seen.own).max(0.0);
-        let r = &self.fleet.servers[&server];
-        match r.streams {
-            Some(seen) => now_at(r, seen).max(own(&server)),
-            None => {
-                let all = self.fleet.servers.values();
-                let heard = all.filter_map(|s| s.streams.map(|seen| now_at(s, seen)));
-                mean(heard).unwrap_or(0.0).max(own(&server))
-            }
+        if let Some(seen) = self.fleet.servers[&server].streams {
+            return (seen.value + own(&server) - seen.own).max(own(&server));
         }
+        let heard = self.fleet.servers.values().filter_map(|s| s.streams.map(|seen| seen.value - seen.own));
+        let total: f64 = loads.values().map(|l| l.streams).sum();
+        own(&server) + mean(heard).unwrap_or_else(|| self.of_others(total))
     }
 
-    /// Use of a server's link: what was heard, moved on by this front's own changes since; else average.
+    /// Use of a server's link, likewise.
     fn link_use(&self, loads: &Loads, server: ServerId) -> f64 {
         let own = |id: &ServerId| loads.get(id).map_or(0.0, |l| l.kb);
-        let now_at = |s: &Server, seen: Seen| moved_on(seen, own(&s.listed.id), self.link_kb(s));
         let r = &self.fleet.servers[&server];
-        match r.link {
-            Some(seen) => now_at(r, seen),
-            None => {
-                let all = self.fleet.servers.values();
-                let heard = all.filter_map(|s| s.link.map(|seen| now_at(s, seen)));
-                mean(heard).unwrap_or(0.0).max(own(&server) / self.link_kb(r))
-            }
+        if let Some(seen) = r.link {
+            return moved_on(seen, own(&server), self.link_kb(r));
         }
+        let others = |s: &Server| s.link.map(|seen| (seen.value - seen.own / self.link_kb(s)).max(0.0));
+        let heard = self.fleet.servers.values().filter_map(others);
+        let total: f64 = loads.values().map(|l| l.kb).sum();
+        own(&server) / self.link_kb(r)
+            + mean(heard).unwrap_or_else(|| self.of_others(total) / self.link_kb(r))
+    }
+
+    /// A server's part of what the other fronts carry, while nothing is heard: as much each as this one.
+    fn of_others(&self, own_total: f64) -> f64 {
+        let ready = self.fleet.servers.values().filter(|s| s.listed.listing == Listing::Ready).count();
+        own_total * self.terms.fronts.saturating_sub(1) as f64 / ready.max(1) as f64
     }
 
     /// Use of a rack's uplink: what was heard, else the sum of its links' loads over its told size.
@@ -514,7 +520,7 @@
         let over = ((self.fuller(loads, server, now) - MARK) / STEP).ceil().max(0.0) as u8;
         let mut rung = s.top.saturating_sub(over).max(floor);
         // A single session may be a good part of a link: it is not let in at a rung that overfills it.
-        while rung > floor && self.fuller_with(loads, server, self.terms.rate(s.group, rung), now) > FULL {
+        while rung > floor && self.fuller_with(loads, server, self.terms.rate(s.group, rung), now) > ADMIT {
             rung -= 1;
         }
         rung
@@ -595,6 +601,9 @@
             let s = hand.sess.get_mut(&id).expect("a session that was just listed");
             let Some(at) = s.at.filter(|a| self.fleet.servers.contains_key(a)) else { continue };
             let kb = self.terms.rate(s.group, s.rung + 1) - self.terms.rate(s.group, s.rung);
+            if !self.may_step_up(at, now) {
+                continue;
+            }
             if self.fuller_with(&loads, at, kb, now) < MARK {
                 (s.rung, s.stepped) = (s.rung + 1, now);
                 loads.entry(at).or_default().kb += kb;
@@ -603,6 +612,16 @@
         }
     }
 
+    /// Whether it is this front's turn on the server's rack, and the server was heard in this turn.
+    fn may_step_up(&self, server: ServerId, now: Ms) -> bool {
+        let s = &self.fleet.servers[&server];
+        let turn = (now / UP_TURN).floor();
+        let whose =
+            (turn + self.terms.rack(s.listed.cell).0 as f64).rem_euclid(self.terms.fronts.max(1) as f64);
+        let heard = s.link.is_some_and(|seen| seen.at - turn * UP_TURN >= 0.0);
+        heard && whose == self.terms.my_number as f64
+    }
+
     // ---- the second call: after an outcome ----
 
     pub fn after(&mut self, hand: &mut Hand, id: SessId, ending: Ending, now: Ms) -> Place {
