--- a/src/choice.rs
+++ b/src/choice.rs
@@ -17,11 +17,11 @@
 const MARK: f64 = 0.8;
 const STEP: f64 = 0.1;
 /// A new session's own rate may fill a link or uplink up to this.
-const ADMIT: f64 = 0.9;
+const ADMIT: f64 = 0.8;
 /// Use over which playing sessions are stepped down.
 const FULL: f64 = 1.0;
 /// A session changes rung at most once in this time.
-const HOLD: Ms = 5_000.0;
+const HOLD: Ms = 2_500.0;
 /// Shares delivered under this tell of a link or uplink that is asked too much.
 const SHORT: f64 = 0.98;
 /// Time between the probes of a server in use.
