--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -1,14 +1,15 @@
 //! Many instances in one process, each with its own decisions, sessions in hand and timer.
 use crate::wire::{Frame, Reader, Reply, HEADER};
 use std::collections::BTreeMap;
-use walnutline::choice::{Chooser, Ending, Place, Request};
 use walnutline::fleet::{Listed, Listing};
+use walnutline::front::Front;
 use walnutline::hand::Hand;
 use walnutline::ids::{CellNo, GroupNo, KindNo, Ms, ServerId, SessId, TitleId, ZoneNo};
+use walnutline::interface::{Ending, Place, Request};
 use walnutline::terms::Terms;
 
 struct Instance {
-    chooser: Chooser,
+    front: Front,
     hand: Hand,
     /// The earliest timer that is out.
     bell_at: Option<Ms>,
@@ -69,8 +70,8 @@
             let len = r.u32()? as usize;
             let info = std::str::from_utf8(r.take(len)?).map_err(|e| format!("settings: {e}"))?;
             let terms = Terms::parse(info).map_err(|e| format!("settings: {e}"))?;
-            let chooser = Chooser::new(terms, seed, now);
-            self.instances.insert(who, Instance { chooser, hand: Hand::default(), bell_at: None });
+            let front = Front::new(terms, seed, now);
+            self.instances.insert(who, Instance { front, hand: Hand::default(), bell_at: None });
             return Ok(Some(who));
         }
         let pages = &self.pages;
@@ -85,8 +86,8 @@
                     let list = pages.get(&page).ok_or_else(|| format!("list {page} was never sent"))?;
                     if let Some(i) = known {
                         match form {
-                            0 => list.iter().for_each(|l| i.chooser.listed(l.clone(), now)),
-                            _ => i.chooser.listed_all(list.clone(), now),
+                            0 => list.iter().for_each(|l| i.front.listed(l.clone())),
+                            _ => i.front.listed_all(list.clone()),
                         }
                     }
                 }
@@ -99,15 +100,15 @@
                 let (title, home, left, span) = (r.u64()?, r.f32()?, r.f64()?, r.f32()?);
                 if let Some(i) = known {
                     let request = i.request(group, title, home, span, top, left)?;
-                    i.chooser.taken(&mut i.hand, id, request, now);
-                    let place = i.chooser.place(&mut i.hand, id, now);
+                    i.front.taken(&mut i.hand, id, request, now);
+                    let place = i.front.place(&mut i.hand, id, now);
                     answer(reply, who, id, place);
                 }
             }
             4 => {
                 let (id, _leg, _server, _took) = (SessId(r.u64()?), r.u16()?, r.u32()?, r.f64()?);
                 if let Some(i) = known {
-                    i.chooser.started(&mut i.hand, id, now);
+                    i.front.started(&mut i.hand, id, now);
                 }
             }
             5 => {
@@ -121,15 +122,15 @@
                             s.answered = true;
                         }
                     }
-                    let place = i.chooser.after(&mut i.hand, id, ending, now);
-                    i.chooser.report(&i.hand, server, &load, now);
+                    let place = i.front.after(&mut i.hand, id, ending, now);
+                    i.front.report(&mut i.hand, server, &load, now);
                     answer(reply, who, id, place);
                 }
             }
             6 => {
                 let id = SessId(r.u64()?);
                 if let Some(i) = known {
-                    i.chooser.left(&mut i.hand, id);
+                    i.front.left(&mut i.hand, id);
                 }
             }
             7 => {
@@ -143,8 +144,8 @@
                 let load = values(r)?;
                 let answered = ending(how)? == Ending::Done;
                 if let Some(i) = known {
-                    i.chooser.probed(server, answered, now);
-                    i.chooser.report(&i.hand, server, &load, now);
+                    i.front.probed(server, answered, now);
+                    i.front.report(&mut i.hand, server, &load, now);
                 }
             }
             9 => {
@@ -161,7 +162,7 @@
                 let server = ServerId(r.u32()?);
                 if let Some(i) = known {
                     let request = i.request(group, title, home, span, top, left)?;
-                    i.chooser.under_way(&mut i.hand, id, request, server, now);
+                    i.front.under_way(&mut i.hand, id, request, server, now);
                 }
             }
             _ => {
@@ -169,10 +170,10 @@
                 let (_leg, x) = (r.u16()?, r.f32()? as f64);
                 if let Some(i) = known {
                     match sort {
-                        1 => i.chooser.share_heard(&i.hand, server, x, now),
-                        2 => i.chooser.rung_told(&mut i.hand, id, x as u8),
-                        3 => i.chooser.link_heard(&i.hand, server, x, now),
-                        4 => i.chooser.uplink_heard(&i.hand, server, x, now),
+                        1 => i.front.share_heard(&mut i.hand, server, x, now),
+                        2 => i.front.rung_told(&mut i.hand, id, x as u8),
+                        3 => i.front.link_heard(&mut i.hand, server, x, now),
+                        4 => i.front.uplink_heard(&mut i.hand, server, x, now),
                         _ => return Err(format!("unknown kind of note {sort}")),
                     }
                 }
@@ -192,7 +193,7 @@
         top: f32,
         left: Ms,
     ) -> Result<Request, String> {
-        if group as usize >= self.chooser.terms.groups.len() {
+        if group as usize >= self.front.terms.groups.len() {
             return Err(format!("class {group} is not in the settings"));
         }
         Ok(Request {
@@ -207,7 +208,7 @@
 
     /// Does what is due and sees to the timer.
     fn attend(&mut self, who: u32, now: Ms, reply: &mut Reply) {
-        let due = self.chooser.wait(&mut self.hand, now);
+        let due = self.front.wait(&mut self.hand, now);
         for (id, rung) in due.rungs {
             reply.record(6, who).put(&id.0.to_le_bytes()).put(&[rung]);
         }
@@ -215,7 +216,7 @@
             reply.record(7, who).put(&server.0.to_le_bytes());
         }
         for id in due.place {
-            let place = self.chooser.place(&mut self.hand, id, now);
+            let place = self.front.place(&mut self.hand, id, now);
             answer(reply, who, id, place);
         }
         for line in due.log {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,14 +1,16 @@
-//! All decisions of the session front. It is asked through three calls: [`Chooser::place`] (where to send
-//! this session, or not yet, or never), [`Chooser::after`] (what to do after this outcome) and
-//! [`Chooser::wait`] (what is due now, and how long to wait before asking again). News is recorded by plain
-//! methods: the list, reports, delivery shares, starts and ends. The caller keeps the timers and the
-//! sessions in hand and decides nothing; the types of this interface stand in `ids`, `hand`, `fleet` and
-//! `terms`, the answers just below. docs/design.md tells what comes from the design page.
-use crate::fleet::{Fleet, Listed, Listing, Rack, Seen, Server};
+//! All decisions of the session front. It is asked through three calls: [`Front::place`] (where to send this
+//! session, or not yet, or never), [`Front::after`] (what to do after this outcome) and [`Front::wait`] (what
+//! is due now, and how long to wait before asking again). News is recorded by plain methods: here where it
+//! bears on a decision, else in `front`. The caller keeps the timers and the sessions in hand and decides
+//! nothing. The answers stand in `interface`, the state in `front`, `hand`, `fleet` and `terms`.
+//! docs/design.md tells what comes from the design page, what was added, and when each addition acts.
+use crate::fleet::{Line, Listed, Listing, Seen, Server};
+use crate::front::Front;
 use crate::hand::{Hand, Load, Sess};
-use crate::ids::{CellNo, GroupNo, Ms, RackNo, ServerId, SessId, TitleId};
-use crate::terms::{Column, Repeat, Scope, Terms};
-use std::collections::{BTreeMap, VecDeque};
+use crate::ids::{Ms, RackNo, ServerId, SessId};
+use crate::interface::{Due, Ending, Place};
+use crate::terms::{Column, Repeat, Scope};
+use std::collections::BTreeMap;
 
 /// Weights of streams and of link plus uplink in a holder's cost.
 const ALPHA: f64 = 0.5;
@@ -49,162 +51,11 @@
 /// How often a session that waits for a cold server is looked at again.
 const TURN_LOOK: Ms = 20.0;
 
-/// Where a session goes.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Place {
-    Setup {
-        server: ServerId,
-        rung: u8,
-        timeout: Ms,
-    },
-    NotYet,
-    BusyReply {
-        come_back: Option<Ms>,
-    },
-    TornDown,
-    /// Nothing is owed: the session plays, or it is over.
-    Nothing,
-}
-
-/// How a SETUP, or the session that came of it, ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Ending {
-    Done,
-    Errored,
-    BusyReplied,
-    TimedOut,
-    NoConnection,
-    Broken,
-    Withdrawn,
-    NeverSent,
-}
-
-impl Ending {
-    fn never_ran(self) -> bool {
-        matches!(self, Ending::BusyReplied | Ending::NoConnection | Ending::NeverSent)
-    }
-}
-
-/// What is due now, and when to ask again.
-#[derive(Debug, Default, PartialEq)]
-pub struct Due {
-    pub rungs: Vec<(SessId, u8)>,
-    pub probes: Vec<ServerId>,
-    pub place: Vec<SessId>,
-    pub log: Vec<String>,
-    pub again_at: Ms,
-}
-
-/// A request as it comes in.
-#[derive(Debug, Clone)]
-pub struct Request {
-    pub group: GroupNo,
-    pub title: TitleId,
-    pub home: CellNo,
-    pub span: u32,
-    pub top: u8,
-    /// How long the viewer waits.
-    pub left: Ms,
-}
-
-pub struct Chooser {
-    pub terms: Terms,
-    pub fleet: Fleet,
-    pub rng: fastrand::Rng,
-    pub born: Ms,
-    /// When requests were taken and further SETUPs sent, as far back as the budget looks.
-    pub taken: VecDeque<Ms>,
-    pub further: VecDeque<Ms>,
-    rungs: Vec<(SessId, u8)>,
-    log: Vec<String>,
-}
-
 type Loads = BTreeMap<ServerId, Load>;
 
-impl Chooser {
-    pub fn new(terms: Terms, seed: u64, now: Ms) -> Self {
-        Chooser {
-            terms,
-            fleet: Fleet::default(),
-            rng: fastrand::Rng::with_seed(seed),
-            born: now,
-            taken: VecDeque::new(),
-            further: VecDeque::new(),
-            rungs: Vec::new(),
-            log: Vec::new(),
-        }
-    }
-
+impl Front {
     // ---- news ----
 
-    /// One line of the list. A new start makes it a new process: nothing known of the old one counts.
-    pub fn listed(&mut self, line: Listed, now: Ms) {
-        let wait = self.rng.f64() * PROBE_PACE;
-        match self.fleet.servers.get_mut(&line.id) {
-            Some(s) if s.listed.started == line.started => s.listed = line,
-            Some(s) => {
-                let sent_cold = std::mem::take(&mut s.sent_cold);
-                *s = Server { sent_cold, probe_at: now + wait, ..Server::new(line) };
-            }
-            None => {
-                let s = Server { probe_at: now + wait, ..Server::new(line.clone()) };
-                self.fleet.servers.insert(line.id, s);
-            }
-        }
-    }
-
-    /// The complete list: what it leaves out is gone.
-    pub fn listed_all(&mut self, lines: Vec<Listed>, now: Ms) {
-        for s in self.fleet.servers.values_mut() {
-            s.listed.listing = Listing::Gone;
-        }
-        for line in lines {
-            self.listed(line, now);
-        }
-    }
-
-    /// A request was taken.
-    pub fn taken(&mut self, hand: &mut Hand, id: SessId, r: Request, now: Ms) {
-        self.taken.push_back(now);
-        hand.sess.insert(id, self.session(r, now));
-    }
-
-    /// A session that was under way when the front started.
-    pub fn under_way(&mut self, hand: &mut Hand, id: SessId, r: Request, server: ServerId, now: Ms) {
-        let s = self.session(r, now);
-        hand.sess.insert(id, Sess { at: Some(server), playing: true, answered: true, setups: 1, ..s });
-    }
-
-    fn session(&self, r: Request, now: Ms) -> Sess {
-        let g = &self.terms.groups[r.group.0 as usize];
-        Sess {
-            group: r.group,
-            title: r.title,
-            home: r.home,
-            span: r.span,
-            top: r.top.min(g.top).max(g.floor),
-            came: now,
-            until: now + r.left,
-            rung: g.floor,
-            at: None,
-            playing: false,
-            answered: false,
-            setups: 0,
-            tried: Vec::new(),
-            sent: now,
-            stepped: Ms::NEG_INFINITY,
-            may_have_run: None,
-            held_until: None,
-        }
-    }
-
-    /// The rung in force of a session.
-    pub fn rung_told(&mut self, hand: &mut Hand, id: SessId, rung: u8) {
-        if let Some(s) = hand.sess.get_mut(&id) {
-            s.rung = rung.min(self.terms.rung_kb.len() as u8 - 1);
-        }
-    }
-
     /// A session plays.
     pub fn started(&mut self, hand: &mut Hand, id: SessId, now: Ms) {
         let Some(s) = hand.sess.get_mut(&id) else { return };
@@ -214,18 +65,8 @@
         }
     }
 
-    /// The viewer left before an answer.
-    pub fn left(&mut self, hand: &mut Hand, id: SessId) {
-        if let Some(s) = hand.sess.get_mut(&id) {
-            (s.answered, s.held_until) = (true, None);
-            if s.at.is_none() {
-                hand.sess.remove(&id);
-            }
-        }
-    }
-
     /// A load report, its values in the order of the terms' columns.
-    pub fn report(&mut self, hand: &Hand, server: ServerId, values: &[f64], now: Ms) {
+    pub fn report(&mut self, hand: &mut Hand, server: ServerId, values: &[f64], now: Ms) {
         let columns = self.terms.columns.clone();
         for (column, &v) in columns.iter().zip(values) {
             match column {
@@ -243,27 +84,50 @@
     }
 
     /// What is asked of a server's link over what it gives.
-    pub fn link_heard(&mut self, hand: &Hand, server: ServerId, use_: f64, now: Ms) {
-        let own = hand.loads(&self.terms).get(&server).copied().unwrap_or_default();
-        let Some(s) = self.fleet.servers.get_mut(&server) else { return };
-        if sound(use_) && now >= s.settled_at {
-            s.link = Some(Seen { value: use_, at: now, own: own.kb });
-        }
+    pub fn link_heard(&mut self, hand: &mut Hand, server: ServerId, use_: f64, now: Ms) {
+        self.heard(hand, Line::Link(server), use_, now);
     }
 
     /// The same of the uplink of its rack.
-    pub fn uplink_heard(&mut self, hand: &Hand, server: ServerId, use_: f64, now: Ms) {
-        let Some(rack) = self.rack_of(server) else { return };
-        let own = self.rack_load(&hand.loads(&self.terms), rack);
-        let r = self.fleet.racks.entry(rack).or_default();
-        if sound(use_) && now >= r.settled_at {
-            r.uplink = Some(Seen { value: use_, at: now, own });
+    pub fn uplink_heard(&mut self, hand: &mut Hand, server: ServerId, use_: f64, now: Ms) {
+        if let Some(rack) = self.rack_of(server) {
+            self.heard(hand, Line::Uplink(rack), use_, now);
+        }
+    }
+
+    /// Enters a use in the table. Above 1.0 the newest sessions there are stepped down until this front's
+    /// own load fits: every front sheds its own part of what is too much.
+    fn heard(&mut self, hand: &mut Hand, line: Line, use_: f64, now: Ms) {
+        let own = self.own_kb(&hand.loads(&self.terms), line);
+        let (seen, settled_at) = match line {
+            Line::Link(id) => match self.fleet.servers.get_mut(&id) {
+                Some(s) => (&mut s.link, &mut s.settled_at),
+                None => return,
+            },
+            Line::Uplink(no) => {
+                let r = self.fleet.racks.entry(no).or_default();
+                (&mut r.uplink, &mut r.settled_at)
+            }
+        };
+        if !sound(use_) || now < *settled_at {
+            return;
+        }
+        *seen = Some(Seen { value: use_, at: now, own });
+        if use_ > FULL {
+            let settle = now + self.terms.share_delay + SETTLE;
+            if self.shed(hand, line, own / use_, now) {
+                self.log.push(format!("over {line:?} use={use_:.2}"));
+                match line {
+                    Line::Link(id) => self.fleet.servers.get_mut(&id).expect("heard").settled_at = settle,
+                    Line::Uplink(no) => self.fleet.racks.get_mut(&no).expect("heard").settled_at = settle,
+                }
+            }
         }
     }
 
     /// The share of their rates that sessions at a server got. The shortage lies with its link or with the
     /// uplink, whichever the table holds to be fuller.
-    pub fn share_heard(&mut self, hand: &Hand, server: ServerId, share: f64, now: Ms) {
+    pub fn share_heard(&mut self, hand: &mut Hand, server: ServerId, share: f64, now: Ms) {
         let Some(rack) = self.rack_of(server) else { return };
         if !sound(share) || share <= 0.0 {
             return;
@@ -288,9 +152,7 @@
 
     /// The answer to a probe.
     pub fn probed(&mut self, server: ServerId, answered: bool, now: Ms) {
-        let wait = self.pace();
         let Some(s) = self.fleet.servers.get_mut(&server) else { return };
-        (s.probe_out, s.probe_at) = (false, now + wait);
         if answered && s.died.is_some() && s.back.is_none() {
             s.back = Some(now);
         }
@@ -447,8 +309,14 @@
         Some(self.terms.rack(self.fleet.servers.get(&server)?.listed.cell))
     }
 
-    fn rack_load(&self, loads: &Loads, rack: RackNo) -> f64 {
-        loads.iter().filter(|(id, _)| self.rack_of(**id) == Some(rack)).map(|(_, l)| l.kb).sum()
+    /// This front's own load on a line.
+    fn own_kb(&self, loads: &Loads, line: Line) -> f64 {
+        match line {
+            Line::Link(id) => loads.get(&id).map_or(0.0, |l| l.kb),
+            Line::Uplink(no) => {
+                loads.iter().filter(|(id, _)| self.rack_of(**id) == Some(no)).map(|(_, l)| l.kb).sum()
+            }
+        }
     }
 
     /// Streams at a server: the last report, moved on by this front's own changes since. One not yet heard
@@ -489,7 +357,7 @@
         let stands =
             |seen: &Seen| self.terms.columns.contains(&Column::Uplink) || now < seen.at + SHARE_STANDS;
         if let Some(seen) = self.fleet.racks.get(&rack).and_then(|r| r.uplink).filter(stands) {
-            return moved_on(seen, self.rack_load(loads, rack), told);
+            return moved_on(seen, self.own_kb(loads, Line::Uplink(rack)), told);
         }
         let here = self
             .fleet
@@ -526,49 +394,20 @@
         rung
     }
 
-    /// Steps down the newest sessions wherever what was heard shows use above 1.0, until this front's own
-    /// load there fits: every front sheds its own part of what is too much.
-    fn step_down(&mut self, hand: &mut Hand, now: Ms) {
-        let servers: Vec<ServerId> = self.fleet.servers.keys().copied().collect();
-        for id in servers {
-            let Some(seen) = self.fleet.servers[&id].link else { continue };
-            let settle = now + self.terms.share_delay + SETTLE;
-            if seen.value > FULL && now >= self.fleet.servers[&id].settled_at && seen.at == now {
-                let only = |s: &Sess| s.at == Some(id);
-                if self.shed(hand, only, seen.own / seen.value, now) {
-                    self.fleet.servers.get_mut(&id).expect("listed").settled_at = settle;
-                    self.log.push(format!("link over server={} use={:.2}", id.0, seen.value));
-                }
-            }
-        }
-        let racks: Vec<(RackNo, Rack)> = self.fleet.racks.iter().map(|(n, r)| (*n, r.clone())).collect();
-        for (no, rack) in racks {
-            let Some(seen) = rack.uplink else { continue };
-            if seen.value > FULL && now >= rack.settled_at && seen.at == now {
-                let members: Vec<ServerId> = self.members(no);
-                let only = |s: &Sess| s.at.is_some_and(|a| members.contains(&a));
-                if self.shed(hand, only, seen.own / seen.value, now) {
-                    let settle = now + self.terms.share_delay + SETTLE;
-                    self.fleet.racks.get_mut(&no).expect("heard").settled_at = settle;
-                    self.log.push(format!("uplink over rack={} use={:.2}", no.0, seen.value));
-                }
-            }
-        }
-    }
-
-    fn members(&self, rack: RackNo) -> Vec<ServerId> {
-        let here = self.fleet.servers.values().filter(|s| self.terms.rack(s.listed.cell) == rack);
-        here.map(|s| s.listed.id).collect()
-    }
-
-    /// Steps the newest of these sessions down a rung each until their load is at most `fits`.
-    fn shed(&mut self, hand: &mut Hand, of: impl Fn(&Sess) -> bool, fits: f64, now: Ms) -> bool {
+    /// Steps the newest of the sessions on a line down a rung each until their load is at most `fits`.
+    fn shed(&mut self, hand: &mut Hand, line: Line, fits: f64, now: Ms) -> bool {
+        let on_line = |s: &Sess| match (line, s.at) {
+            (Line::Link(id), Some(at)) => at == id,
+            (Line::Uplink(no), Some(at)) => self.rack_of(at) == Some(no),
+            _ => false,
+        };
         let terms = &self.terms;
-        let mut load: f64 = hand.sess.values().filter(|s| of(s)).map(|s| terms.rate(s.group, s.rung)).sum();
-        let mut newest: Vec<(Ms, SessId)> =
-            hand.sess.iter().filter(|(_, s)| s.playing && of(s)).map(|(id, s)| (s.came, *id)).collect();
+        let mut load: f64 =
+            hand.sess.values().filter(|s| on_line(s)).map(|s| terms.rate(s.group, s.rung)).sum();
+        let on_it = hand.sess.iter().filter(|(_, s)| s.playing && on_line(s));
+        let mut newest: Vec<(Ms, SessId)> = on_it.map(|(id, s)| (s.came, *id)).collect();
         newest.sort_by(|a, b| b.0.total_cmp(&a.0).then(b.1.cmp(&a.1)));
-        let mut any = false;
+        let before = self.rungs.len();
         for (_, id) in newest {
             let s = hand.sess.get_mut(&id).expect("a session that was just listed");
             if load <= fits {
@@ -576,11 +415,11 @@
             }
             if now - s.stepped >= HOLD && s.rung > terms.groups[s.group.0 as usize].floor {
                 load -= terms.rate(s.group, s.rung) - terms.rate(s.group, s.rung - 1);
-                (s.rung, s.stepped, any) = (s.rung - 1, now, true);
+                (s.rung, s.stepped) = (s.rung - 1, now);
                 self.rungs.push((id, s.rung));
             }
         }
-        any
+        self.rungs.len() > before
     }
 
     /// Steps sessions up where use stays under the mark at the higher rate, the most utility for its rate
@@ -721,7 +560,6 @@
     // ---- the third call: how long to wait ----
 
     pub fn wait(&mut self, hand: &mut Hand, now: Ms) -> Due {
-        self.step_down(hand, now);
         self.step_up(hand, now);
         let mut due = Due { again_at: now + LOOK, ..Due::default() };
         for (id, s) in &mut hand.sess {
@@ -736,11 +574,11 @@
         }
         if self.terms.may_probe && self.terms.probe_fed {
             let loads = hand.loads(&self.terms);
-            let wait = self.pace();
-            for s in self.fleet.servers.values_mut() {
-                if s.listed.listing != Listing::Gone && loads.contains_key(&s.listed.id) && s.probe_at <= now
-                {
-                    (s.probe_out, s.probe_at) = (true, now + wait);
+            for s in self.fleet.servers.values_mut().filter(|s| loads.contains_key(&s.listed.id)) {
+                let next = now + PROBE_PACE * (0.9 + 0.2 * self.rng.f64());
+                let first = now + PROBE_PACE * self.rng.f64();
+                if s.listed.listing != Listing::Gone && *s.probe_at.get_or_insert(first) <= now {
+                    s.probe_at = Some(next);
                     due.probes.push(s.listed.id);
                 }
             }
@@ -754,10 +592,6 @@
         due.log = std::mem::take(&mut self.log);
         due
     }
-
-    fn pace(&mut self) -> Ms {
-        PROBE_PACE * (0.9 + 0.2 * self.rng.f64())
-    }
 }
 
 /// A figure heard, moved on by what this front's own load has changed since. Above full, its own load stands
@@ -779,3 +613,10 @@
 fn sound(x: f64) -> bool {
     x.is_finite() && (0.0..1e4).contains(&x)
 }
+
+impl Ending {
+    /// Whether this proves that the SETUP had no effect.
+    fn never_ran(self) -> bool {
+        matches!(self, Ending::BusyReplied | Ending::NoConnection | Ending::NeverSent)
+    }
+}
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -9,6 +9,13 @@
     Gone,
 }
 
+/// What sessions share: the link of a server, or the uplink of a rack.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Line {
+    Link(ServerId),
+    Uplink(RackNo),
+}
+
 /// One line of the list, as it was told.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Listed {
@@ -45,11 +52,10 @@
     pub back: Option<Ms>,
     /// SETUPs sent while it was cold.
     pub sent_cold: Vec<Ms>,
-    pub probe_at: Ms,
-    pub probe_out: bool,
+    /// When the next probe is due, once that is settled.
+    pub probe_at: Option<Ms>,
     /// Sessions there were stepped down; what is heard before this tells of the time before.
     pub settled_at: Ms,
-    pub over: bool,
 }
 
 impl Server {
@@ -63,10 +69,8 @@
             died: None,
             back: None,
             sent_cold: Vec::new(),
-            probe_at: Ms::NEG_INFINITY,
-            probe_out: false,
+            probe_at: None,
             settled_at: Ms::NEG_INFINITY,
-            over: false,
         }
     }
 }
@@ -76,7 +80,6 @@
     /// What is asked of the uplink over what it gives.
     pub uplink: Option<Seen>,
     pub settled_at: Ms,
-    pub over: bool,
 }
 
 #[derive(Debug, Default)]
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,54 @@
+//! What the calls of the decisions take and return: plain values.
+use crate::ids::{CellNo, GroupNo, Ms, ServerId, SessId, TitleId};
+
+/// Where a session goes.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Place {
+    Setup {
+        server: ServerId,
+        rung: u8,
+        timeout: Ms,
+    },
+    NotYet,
+    BusyReply {
+        come_back: Option<Ms>,
+    },
+    TornDown,
+    /// Nothing is owed: the session plays, or it is over.
+    Nothing,
+}
+
+/// How a SETUP, or the session that came of it, ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    Done,
+    Errored,
+    BusyReplied,
+    TimedOut,
+    NoConnection,
+    Broken,
+    Withdrawn,
+    NeverSent,
+}
+
+/// What is due now, and when to ask again.
+#[derive(Debug, Default, PartialEq)]
+pub struct Due {
+    pub rungs: Vec<(SessId, u8)>,
+    pub probes: Vec<ServerId>,
+    pub place: Vec<SessId>,
+    pub log: Vec<String>,
+    pub again_at: Ms,
+}
+
+/// A request as it comes in.
+#[derive(Debug, Clone)]
+pub struct Request {
+    pub group: GroupNo,
+    pub title: TitleId,
+    pub home: CellNo,
+    pub span: u32,
+    pub top: u8,
+    /// How long the viewer waits.
+    pub left: Ms,
+}
--- /dev/null
+++ b/tests/choice.rs
@@ -0,0 +1,233 @@
+//! The decisions, each on a small state built here.
+mod support;
+
+use support::*;
+use test_case::test_case;
+use walnutline::fleet::{Listing, Seen};
+use walnutline::hand::{Hand, Sess};
+use walnutline::ids::*;
+use walnutline::interface::{Ending, Place};
+use walnutline::terms::{Repeat, Scope};
+
+const ONE: SessId = SessId(1);
+
+fn went_to(place: &Place) -> Option<u32> {
+    match place {
+        Place::Setup { server, .. } => Some(server.0),
+        _ => None,
+    }
+}
+
+#[test_case(0.2, 5.0 => Some(3); "least link use")]
+#[test_case(0.5, 1.0 => Some(3); "least streams")]
+#[test_case(0.7, 5.0 => Some(1); "fuller than the rest")]
+fn the_holder_of_least_cost_wins(link: f64, streams: f64) -> Option<u32> {
+    let mut f = front(terms());
+    let three = f.fleet.servers.get_mut(&ServerId(3)).unwrap();
+    three.link = Some(Seen { value: link, at: NOW, own: 0.0 });
+    three.streams = Some(Seen { value: streams, at: NOW, own: 0.0 });
+    let mut h = hand([Sess { home: CellNo(1), span: 3, ..sess() }]);
+    f.fleet.servers.get_mut(&ServerId(2)).unwrap().listed.listing = Listing::Gone;
+    went_to(&f.place(&mut h, ONE, NOW))
+}
+
+#[test]
+fn a_server_not_heard_from_counts_as_average() {
+    let mut f = front(terms());
+    for id in [0, 1] {
+        f.fleet.servers.get_mut(&ServerId(id)).unwrap().link =
+            Some(Seen { value: 0.2 + 0.6 * id as f64, at: NOW, own: 0.0 });
+    }
+    let unheard = f.fleet.servers.get_mut(&ServerId(3)).unwrap();
+    (unheard.link, unheard.streams) = (None, None);
+    // Rack 1 holds the server of use 0.8 and the one not heard from: 0.5 on average.
+    let mut h = hand([Sess { home: CellNo(3), span: 1, ..sess() }]);
+    let place = f.place(&mut h, ONE, NOW);
+    assert!(matches!(place, Place::Setup { rung: 2, .. }), "{place:?}");
+}
+
+#[test_case(0.30 => 2; "room for the top")]
+#[test_case(0.65 => 1; "its own rate would take it over the mark")]
+#[test_case(0.95 => 0; "two tenths over")]
+#[test_case(3.00 => 0; "overasked")]
+fn a_new_session_starts_lower_on_a_fuller_link(used: f64) -> u8 {
+    let mut f = front(terms());
+    for s in f.fleet.servers.values_mut() {
+        s.link = Some(Seen { value: used, at: NOW, own: 0.0 });
+    }
+    match f.place(&mut hand([sess()]), ONE, NOW) {
+        Place::Setup { rung, .. } => rung,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test_case(Listing::Draining; "draining")]
+#[test_case(Listing::Gone; "gone")]
+fn nothing_new_goes_to_a_server_that_leaves(listing: Listing) {
+    let mut f = front(terms());
+    f.fleet.servers.get_mut(&ServerId(1)).unwrap().listed.listing = listing;
+    let mut h = hand([Sess { home: CellNo(1), span: 1, ..sess() }]);
+    assert_eq!(f.place(&mut h, ONE, NOW), Place::BusyReply { come_back: Some(500.0) });
+    assert!(h.sess.is_empty());
+}
+
+#[test_case(1.25, 5.0 => vec![(SessId(3), 1), (SessId(2), 1)]; "newest first until it fits")]
+#[test_case(0.95, 5.0 => Vec::<(SessId, u8)>::new(); "not over")]
+#[test_case(1.25, 0.5 => Vec::<(SessId, u8)>::new(); "all changed within the hold")]
+fn playing_sessions_step_down_where_use_is_over(use_: f64, ago_s: f64) -> Vec<(SessId, u8)> {
+    let mut f = front(terms());
+    let mut h = hand((0..3).map(|i| playing(0, 2, 1_000.0 * i as f64)));
+    h.sess.values_mut().for_each(|s| s.stepped = NOW - 1_000.0 * ago_s);
+    f.link_heard(&mut h, ServerId(0), use_, NOW);
+    f.rungs
+}
+
+#[test_case(0.50, 2 => vec![(ONE, 2)]; "room at the higher rate")]
+#[test_case(0.78, 2 => Vec::<(SessId, u8)>::new(); "over the mark at the higher rate")]
+#[test_case(0.50, 1 => Vec::<(SessId, u8)>::new(); "the viewer's top")]
+fn a_playing_session_steps_up_into_room(use_: f64, top: u8) -> Vec<(SessId, u8)> {
+    let mut f = front(terms());
+    f.fleet.servers.get_mut(&ServerId(0)).unwrap().link = Some(Seen { value: use_, at: NOW, own: 200.0 });
+    f.wait(&mut hand([Sess { top, ..playing(0, 1, 0.0) }]), NOW).rungs
+}
+
+#[test]
+fn fronts_step_up_in_turns() {
+    let ups = |number| {
+        let mut f = front(walnutline::terms::Terms { my_number: number, ..terms() });
+        f.wait(&mut hand([playing(0, 1, 0.0)]), NOW).rungs.len()
+    };
+    assert_eq!(ups(0) + ups(1), 1);
+}
+
+#[test_case(f64::NAN; "not a number")]
+#[test_case(f64::INFINITY; "without bound")]
+#[test_case(-0.5; "below zero")]
+fn a_figure_that_cannot_be_stays_out_of_the_table(value: f64) {
+    let mut f = front(terms());
+    f.report(&mut Hand::default(), ServerId(0), &[value, value], NOW + 1.0);
+    let s = &f.fleet.servers[&ServerId(0)];
+    assert_eq!((s.link.unwrap().at, s.streams.unwrap().at), (NOW, NOW));
+}
+
+#[test_case(Ending::Errored; "errored")]
+#[test_case(Ending::TimedOut; "timed out")]
+#[test_case(Ending::NoConnection; "no connection")]
+fn a_failed_setup_goes_on_to_another_holder(ending: Ending) {
+    let mut f = front(terms());
+    let out = Sess { at: Some(ServerId(2)), setups: 1, home: CellNo(2), span: 2, ..sess() };
+    let place = f.after(&mut hand([out]), ONE, ending, NOW);
+    assert_eq!(went_to(&place), Some(3));
+    assert!(f.fleet.servers[&ServerId(2)].aside_until > NOW);
+}
+
+#[test]
+fn a_fast_erroring_server_does_not_draw_the_next_sessions() {
+    let mut f = front(terms());
+    let s = f.fleet.servers.get_mut(&ServerId(0)).unwrap();
+    (s.link, s.fails, s.aside_until) = (Some(Seen { value: 0.0, at: NOW, own: 0.0 }), 1, NOW + 1_000.0);
+    assert_ne!(went_to(&f.place(&mut hand([sess()]), ONE, NOW)), Some(0));
+}
+
+#[test]
+fn when_every_holder_is_aside_one_is_tried_all_the_same() {
+    let mut f = front(terms());
+    f.fleet.servers.values_mut().for_each(|s| s.aside_until = NOW + 9_000.0);
+    assert!(went_to(&f.place(&mut hand([sess()]), ONE, NOW)).is_some());
+}
+
+#[test_case(Repeat::Once, Ending::Errored => Place::TornDown; "may have run")]
+#[test_case(Repeat::Once, Ending::BusyReplied => Place::BusyReply { come_back: Some(500.0) }; "never ran")]
+#[test_case(Repeat::Keyed(Scope::Zone), Ending::TimedOut => Place::TornDown; "key of one zone")]
+fn no_set_up_happens_twice(repeat: Repeat, ending: Ending) -> Place {
+    let mut t = terms();
+    t.groups[0].repeat = repeat;
+    let mut f = front(t);
+    f.fleet.servers.get_mut(&ServerId(2)).unwrap().listed.zone = ZoneNo(1);
+    f.fleet.servers.get_mut(&ServerId(3)).unwrap().listed.listing = Listing::Draining;
+    let out = Sess { at: Some(ServerId(3)), setups: 1, home: CellNo(2), span: 2, ..sess() };
+    let keep = if ending == Ending::BusyReplied { 4 } else { 1 };
+    f.terms.max_setups = keep;
+    f.fleet.servers.get_mut(&ServerId(2)).unwrap().listed.listing = Listing::Gone;
+    f.after(&mut hand([out]), ONE, ending, NOW)
+}
+
+#[test_case(20.0, 0 => false; "its time is up")]
+#[test_case(3_000.0, 4 => false; "all SETUPs are used")]
+#[test_case(3_000.0, 3 => true; "one is left")]
+fn an_answer_comes_before_the_viewer_gives_up(left: Ms, setups: u16) -> bool {
+    let mut f = front(terms());
+    let mut h = hand([Sess { until: NOW + left, setups, ..sess() }]);
+    went_to(&f.place(&mut h, ONE, NOW)).is_some()
+}
+
+#[test_case(2, 2 => false; "all taken")]
+#[test_case(1, 2 => true; "one free")]
+fn seats_are_kept(held: usize, seats: u32) -> bool {
+    let mut t = terms();
+    t.groups[0].seats = seats;
+    let others = (0..held).map(|i| Sess { playing: i > 0, ..playing(0, 0, 0.0) });
+    let mut h = hand([sess()].into_iter().chain(others));
+    went_to(&front(t).place(&mut h, ONE, NOW)).is_some()
+}
+
+#[test]
+fn no_rung_under_the_floor_is_set() {
+    let mut t = terms();
+    t.groups[0].floor = 1;
+    let mut f = front(t);
+    let mut h = hand([playing(0, 1, 0.0)]);
+    f.link_heard(&mut h, ServerId(0), 4.0, NOW);
+    assert!(f.rungs.is_empty());
+}
+
+#[test_case(5, 1 => true; "the free one and a fifth of five")]
+#[test_case(5, 2 => false; "spent")]
+#[test_case(0, 0 => true; "the free one")]
+fn further_setups_stay_within_the_budget(taken: usize, sent: usize) -> bool {
+    let mut f = front(walnutline::terms::Terms { budget: Some(budget()), ..terms() });
+    f.taken.extend((0..taken).map(|i| NOW - 9_000.0 + i as f64));
+    f.further.extend((0..sent).map(|i| NOW - 5_000.0 + i as f64));
+    let out = Sess { at: Some(ServerId(0)), setups: 1, ..sess() };
+    went_to(&f.after(&mut hand([out]), ONE, Ending::Errored, NOW)).is_some()
+}
+
+/// Fronts that all send whenever they may stay within the budget of a cold server, in every span.
+#[test_case(2, 20.0; "a share each")]
+#[test_case(3, 8.0; "turns")]
+#[test_case(5, 2.0; "turns longer than a span")]
+fn all_fronts_together_spare_a_cold_server(fronts: u32, streams: f64) {
+    let mut all: Vec<_> = (0..fronts)
+        .map(|my_number| {
+            let t = walnutline::terms::Terms { fronts, my_number, cold: Some(cold()), ..terms() };
+            let mut f = front(walnutline::terms::Terms { kind_streams: vec![streams], ..t });
+            f.fleet.servers.get_mut(&ServerId(0)).unwrap().listed.started = Some(NOW);
+            f
+        })
+        .collect();
+    let mut sent = Vec::new();
+    for ms in (0..9_990).step_by(10) {
+        let now = NOW + ms as f64;
+        for f in &mut all {
+            let mut h = hand([Sess { span: 1, came: now, until: now + 3_000.0, ..sess() }]);
+            if went_to(&f.place(&mut h, ONE, now)).is_some() {
+                sent.push(now);
+            }
+        }
+    }
+    let c = cold();
+    let budget = c.multiple * streams / c.lasts * c.from * c.span;
+    let most = sent.iter().map(|t| sent.iter().filter(|u| **u >= *t && **u < t + c.span).count()).max();
+    assert!(!sent.is_empty() && most.unwrap() as f64 <= budget.max(1.0), "{most:?} of {budget}");
+}
+
+#[test_case(Ending::NoConnection; "no connection")]
+#[test_case(Ending::Broken; "broken")]
+fn a_server_seen_to_die_counts_as_cold_when_it_answers_again(ending: Ending) {
+    let mut f = front(walnutline::terms::Terms { cold: Some(cold()), ..terms() });
+    f.terms.kind_streams = vec![2.0];
+    f.terms.my_number = 1;
+    let out = Sess { at: Some(ServerId(0)), setups: 1, span: 1, ..sess() };
+    let place = f.after(&mut hand([out]), ONE, ending, NOW);
+    assert!(matches!(place, Place::NotYet | Place::BusyReply { .. }), "{place:?}");
+}
