Step up outside the turn too, where the same step by all fronts would fit

Cause: after a dip sessions stayed low while links stood at 0.3 to 0.6, since a front could step up only in its own turn.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -440,25 +440,28 @@
             let s = hand.sess.get_mut(&id).expect("a session that was just listed");
             let Some(at) = s.at.filter(|a| self.fleet.servers.contains_key(a)) else { continue };
             let kb = self.terms.rate(s.group, s.rung + 1) - self.terms.rate(s.group, s.rung);
-            if !self.may_step_up(at, now) {
-                continue;
-            }
-            if self.fuller_with(&loads, at, kb, now) < MARK {
+            let Some(fronts) = self.may_step_up(at, now) else { continue };
+            if self.fuller_with(&loads, at, kb * fronts, now) < MARK {
                 (s.rung, s.stepped) = (s.rung + 1, now);
                 loads.entry(at).or_default().kb += kb;
+                self.fleet.servers.get_mut(&at).expect("listed").raised_at = now;
                 self.rungs.push((id, s.rung));
             }
         }
     }
 
-    /// Whether it is this front's turn on the server's rack, and the server was heard in this turn.
-    fn may_step_up(&self, server: ServerId, now: Ms) -> bool {
+    /// How many fronts must fit their step up into the room at a server: one in its turn on the rack, all of
+    /// them outside of it. `None` until there is news of the time since the last turn or step.
+    fn may_step_up(&self, server: ServerId, now: Ms) -> Option<f64> {
         let s = &self.fleet.servers[&server];
+        let fronts = self.terms.fronts.max(1) as f64;
         let turn = (now / UP_TURN).floor();
-        let whose =
-            (turn + self.terms.rack(s.listed.cell).0 as f64).rem_euclid(self.terms.fronts.max(1) as f64);
-        let heard = s.link.is_some_and(|seen| seen.at - turn * UP_TURN >= 0.0);
-        heard && whose == self.terms.my_number as f64
+        let whose = (turn + self.terms.rack(s.listed.cell).0 as f64).rem_euclid(fronts);
+        let heard = s.link.map(|seen| seen.at).filter(|at| now - at < UP_TURN)?;
+        if whose == self.terms.my_number as f64 && heard >= turn * UP_TURN {
+            return Some(1.0);
+        }
+        (heard > s.raised_at + self.terms.share_delay + SETTLE).then_some(fronts)
     }
 
     // ---- the second call: after an outcome ----
