A short delivery always counts for the link, no longer for the uplink

Cause: one shortage blamed on an uplink stepped down a whole rack; a hung server's 9-fold shortage did too.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -30,8 +30,8 @@
 const PROBE_PACE: Ms = 5_000.0;
 /// After a step down, news older than its own delay and this is of the time before.
 const SETTLE: Ms = 1_000.0;
-/// A share that was heard stands for the uplink as long as this.
-const SHARE_STANDS: Ms = 5_000.0;
+/// Shares delivered under this are taken for this.
+const LEAST_SHARE: f64 = 0.1;
 /// Share of the start target that the first SETUP may take while others could follow.
 const FIRST_SHARE: f64 = 0.45;
 /// Failures in a row from which a server is set aside, for how long at first, and at most.
@@ -125,28 +125,16 @@
         }
     }
 
-    /// The share of their rates that sessions at a server got. The shortage lies with its link or with the
-    /// uplink, whichever the table holds to be fuller.
+    /// The share of their rates that sessions at a server got: its link is asked for so much more than it
+    /// gives. Where the uplink is what falls short, every server of the rack tells so for itself.
     pub fn share_heard(&mut self, hand: &mut Hand, server: ServerId, share: f64, now: Ms) {
-        let Some(rack) = self.rack_of(server) else { return };
-        if !sound(share) || share <= 0.0 {
+        if !sound(share) || !self.fleet.servers.contains_key(&server) {
             return;
         }
-        let loads = hand.loads(&self.terms);
-        let (link, uplink) = (self.link_use(&loads, server), self.uplink_use(&loads, rack, now));
-        let asked = 1.0 / share;
-        if share >= SHORT {
-            // Enough again: what was heard of a shortage no longer stands.
-            if link > asked {
-                self.link_heard(hand, server, asked, now);
-            }
-            if uplink > asked {
-                self.uplink_heard(hand, server, asked, now);
-            }
-        } else if link >= uplink {
+        let asked = 1.0 / share.max(LEAST_SHARE);
+        // Once it is enough again, only what was heard of a shortage no longer stands.
+        if share < SHORT || self.link_use(&hand.loads(&self.terms), server) > asked {
             self.link_heard(hand, server, asked, now);
-        } else {
-            self.uplink_heard(hand, server, asked, now);
         }
     }
 
@@ -225,7 +213,7 @@
             let in_time = now + soon < (s.came + group.start_target).min(s.until - ANSWER_MARGIN);
             return if in_time { Place::NotYet } else { give_up };
         };
-        let rung = self.rung_for(&loads, server, s, now);
+        let rung = self.rung_for(&loads, server, s);
         let target_left = s.came + group.start_target - now;
         let further_ok = s.setups + 1 < self.terms.max_setups && able.len() > 1;
         let timeout = match target_left * FIRST_SHARE {
@@ -287,15 +275,15 @@
         now: Ms,
     ) -> Option<ServerId> {
         of.filter(|r| self.cold_wait(r, now).is_none())
-            .map(|r| (self.cost(loads, *r, now), *r))
+            .map(|r| (self.cost(loads, *r), *r))
             .min_by(|a, b| a.0.total_cmp(&b.0))
             .map(|(_, r)| r)
     }
 
-    fn cost(&self, loads: &Loads, server: ServerId, now: Ms) -> f64 {
+    fn cost(&self, loads: &Loads, server: ServerId) -> f64 {
         let r = &self.fleet.servers[&server];
         let most = self.terms.kind_streams.get(r.listed.kind.0 as usize).copied().unwrap_or(1.0);
-        let uplink = self.uplink_use(loads, self.terms.rack(r.listed.cell), now);
+        let uplink = self.uplink_use(loads, self.terms.rack(r.listed.cell));
         ALPHA * self.streams(loads, server) / most + BETA * (self.link_use(loads, server) + uplink)
     }
 
@@ -352,11 +340,9 @@
     }
 
     /// Use of a rack's uplink: what was heard, else the sum of its links' loads over its told size.
-    fn uplink_use(&self, loads: &Loads, rack: RackNo, now: Ms) -> f64 {
+    fn uplink_use(&self, loads: &Loads, rack: RackNo) -> f64 {
         let told = self.terms.uplink_kb.max(1.0);
-        let stands =
-            |seen: &Seen| self.terms.columns.contains(&Column::Uplink) || now < seen.at + SHARE_STANDS;
-        if let Some(seen) = self.fleet.racks.get(&rack).and_then(|r| r.uplink).filter(stands) {
+        if let Some(seen) = self.fleet.racks.get(&rack).and_then(|r| r.uplink) {
             return moved_on(seen, self.own_kb(loads, Line::Uplink(rack)), told);
         }
         let here = self
@@ -367,15 +353,15 @@
         here.map(|s| self.link_use(loads, s.listed.id) * self.link_kb(s)).sum::<f64>() / told
     }
 
-    fn fuller(&self, loads: &Loads, server: ServerId, now: Ms) -> f64 {
+    fn fuller(&self, loads: &Loads, server: ServerId) -> f64 {
         let rack = self.terms.rack(self.fleet.servers[&server].listed.cell);
-        self.link_use(loads, server).max(self.uplink_use(loads, rack, now))
+        self.link_use(loads, server).max(self.uplink_use(loads, rack))
     }
 
     /// Use of the fuller of link and uplink when `kb` more is asked of both.
-    fn fuller_with(&self, loads: &Loads, server: ServerId, kb: f64, now: Ms) -> f64 {
+    fn fuller_with(&self, loads: &Loads, server: ServerId, kb: f64) -> f64 {
         let r = &self.fleet.servers[&server];
-        let uplink = self.uplink_use(loads, self.terms.rack(r.listed.cell), now);
+        let uplink = self.uplink_use(loads, self.terms.rack(r.listed.cell));
         let link = self.link_use(loads, server) + kb / self.link_kb(r);
         link.max(uplink + kb / self.terms.uplink_kb.max(1.0))
     }
@@ -383,12 +369,12 @@
     // ---- rungs ----
 
     /// A new session's rung: the top, one lower for each tenth of use above the mark.
-    fn rung_for(&self, loads: &Loads, server: ServerId, s: &Sess, now: Ms) -> u8 {
+    fn rung_for(&self, loads: &Loads, server: ServerId, s: &Sess) -> u8 {
         let floor = self.terms.groups[s.group.0 as usize].floor;
-        let over = ((self.fuller(loads, server, now) - MARK) / STEP).ceil().max(0.0) as u8;
+        let over = ((self.fuller(loads, server) - MARK) / STEP).ceil().max(0.0) as u8;
         let mut rung = s.top.saturating_sub(over).max(floor);
         // A single session may be a good part of a link: it is not let in at a rung that overfills it.
-        while rung > floor && self.fuller_with(loads, server, self.terms.rate(s.group, rung), now) > ADMIT {
+        while rung > floor && self.fuller_with(loads, server, self.terms.rate(s.group, rung)) > ADMIT {
             rung -= 1;
         }
         rung
@@ -441,7 +427,7 @@
             let Some(at) = s.at.filter(|a| self.fleet.servers.contains_key(a)) else { continue };
             let kb = self.terms.rate(s.group, s.rung + 1) - self.terms.rate(s.group, s.rung);
             let Some(fronts) = self.may_step_up(at, now) else { continue };
-            if self.fuller_with(&loads, at, kb * fronts, now) < MARK {
+            if self.fuller_with(&loads, at, kb * fronts) < MARK {
                 (s.rung, s.stepped) = (s.rung + 1, now);
                 loads.entry(at).or_default().kb += kb;
                 self.fleet.servers.get_mut(&at).expect("listed").raised_at = now;
