--- a/src/choice.rs
+++ b/src/choice.rs
@@ -18,8 +18,6 @@
 /// Use from which a new session gets a lower rung, and the use for each further rung lower.
 const MARK: f64 = 0.8;
 const STEP: f64 = 0.1;
-/// A new session's own rate may fill a link or uplink up to this.
-const ADMIT: f64 = 0.8;
 /// Use over which playing sessions are stepped down.
 const FULL: f64 = 1.0;
 /// A session changes rung at most once in this time.
@@ -374,7 +372,7 @@
         let over = ((self.fuller(loads, server) - MARK) / STEP).ceil().max(0.0) as u8;
         let mut rung = s.top.saturating_sub(over).max(floor);
         // A single session may be a good part of a link: it is not let in at a rung that overfills it.
-        while rung > floor && self.fuller_with(loads, server, self.terms.rate(s.group, rung)) > ADMIT {
+        while rung > floor && self.fuller_with(loads, server, self.terms.rate(s.group, rung)) > MARK {
             rung -= 1;
         }
         rung
