Turn away a session that would not fit even with all there at their lowest rungs

Guards against any crowd or loss of capacity that leaves too little for everyone; it can turn viewers away for nothing while a shortage that was heard is already over.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -200,6 +200,12 @@
             .collect();
         // Ordinary path: holders neither set aside nor tried by this session; then tried ones last.
         let sound_ones = |r: &&ServerId| self.fleet.servers[r].aside_until <= now && !s.tried.contains(r);
+        let with_room: Vec<ServerId> =
+            able.iter().filter(|r| self.has_room(hand, &loads, **r, s)).copied().collect();
+        if with_room.is_empty() && !able.is_empty() {
+            return give_up;
+        }
+        let able = with_room;
         let mut pick = self.cheapest(&loads, able.iter().filter(sound_ones), now);
         if pick.is_none() {
             // All holders failed lately or did not take this session: any but the last one that failed it.
@@ -364,6 +370,35 @@
         link.max(uplink + kb / self.terms.uplink_kb.max(1.0))
     }
 
+    /// Whether one more session at its lowest rung fits a server's link and uplink once all there stand at
+    /// theirs. Others are taken to stand as high as this front's own. Guards against a crowd in which
+    /// everyone gets too little to be worth watching: there, a busy reply is worth more than one more
+    /// session. It can turn viewers away for nothing while a shortage that was heard is already over.
+    fn has_room(&self, hand: &Hand, loads: &Loads, server: ServerId, new: &Sess) -> bool {
+        let floor = |s: &Sess| self.terms.rate(s.group, self.terms.groups[s.group.0 as usize].floor);
+        let r = &self.fleet.servers[&server];
+        let rack = self.terms.rack(r.listed.cell);
+        let lines = [
+            (Line::Link(server), self.link_use(loads, server), self.link_kb(r)),
+            (Line::Uplink(rack), self.uplink_use(loads, rack), self.terms.uplink_kb.max(1.0)),
+        ];
+        lines.iter().all(|(line, use_, size)| {
+            let own = hand.sess.values().filter(|s| self.on_line(s, *line));
+            let (least, now) =
+                own.fold((0.0, 0.0), |(a, b), s| (a + floor(s), b + self.terms.rate(s.group, s.rung)));
+            let lowest = if now > 0.0 { use_ * least / now } else { *use_ };
+            lowest + floor(new) / size <= FULL
+        })
+    }
+
+    fn on_line(&self, s: &Sess, line: Line) -> bool {
+        match (line, s.at) {
+            (Line::Link(id), Some(at)) => at == id,
+            (Line::Uplink(no), Some(at)) => self.rack_of(at) == Some(no),
+            _ => false,
+        }
+    }
+
     // ---- rungs ----
 
     /// A new session's rung: the top, one lower for each tenth of use above the mark.
@@ -380,15 +415,10 @@
 
     /// Steps the newest of the sessions on a line down a rung each until their load is at most `fits`.
     fn shed(&mut self, hand: &mut Hand, line: Line, fits: f64, now: Ms) -> bool {
-        let on_line = |s: &Sess| match (line, s.at) {
-            (Line::Link(id), Some(at)) => at == id,
-            (Line::Uplink(no), Some(at)) => self.rack_of(at) == Some(no),
-            _ => false,
-        };
         let terms = &self.terms;
         let mut load: f64 =
-            hand.sess.values().filter(|s| on_line(s)).map(|s| terms.rate(s.group, s.rung)).sum();
-        let on_it = hand.sess.iter().filter(|(_, s)| s.playing && on_line(s));
+            hand.sess.values().filter(|s| self.on_line(s, line)).map(|s| terms.rate(s.group, s.rung)).sum();
+        let on_it = hand.sess.iter().filter(|(_, s)| s.playing && self.on_line(s, line));
         let mut newest: Vec<(Ms, SessId)> = on_it.map(|(id, s)| (s.came, *id)).collect();
         newest.sort_by(|a, b| b.0.total_cmp(&a.0).then(b.1.cmp(&a.1)));
         let before = self.rungs.len();
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -61,6 +61,17 @@
     }
 }
 
+#[test_case(0.97, 0 => false; "full with all at their lowest rungs")]
+#[test_case(0.97, 2 => true; "those there can step down")]
+#[test_case(0.90, 0 => true; "room at the lowest rung")]
+fn what_does_not_fit_at_the_lowest_rungs_is_turned_away(used: f64, rung: u8) -> bool {
+    let mut f = front(terms());
+    let own = f.terms.rate(GroupNo(0), rung);
+    f.fleet.servers.get_mut(&ServerId(0)).unwrap().link = Some(Seen { value: used, at: NOW, own });
+    let mut h = hand([Sess { span: 1, ..sess() }, playing(0, rung, 0.0)]);
+    went_to(&f.place(&mut h, ONE, NOW)).is_some()
+}
+
 #[test_case(Listing::Draining; "draining")]
 #[test_case(Listing::Gone; "gone")]
 fn nothing_new_goes_to_a_server_that_leaves(listing: Listing) {
