A report of 15 s ago no longer counts: its server is as one not heard from

A server that was heard to be overasked and then got no sessions was never heard from again, so it stayed shunned.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -28,6 +28,8 @@
 const PROBE_PACE: Ms = 5_000.0;
 /// After a step down, news older than its own delay and this is of the time before.
 const SETTLE: Ms = 1_000.0;
+/// A report older than this no longer counts: its server is as one not heard from.
+const STALE: Ms = 15_000.0;
 /// Shares delivered under this are taken for this.
 const LEAST_SHARE: f64 = 0.1;
 /// Share of the start target that the first SETUP may take while others could follow.
@@ -147,6 +149,7 @@
     // ---- the first call: where to ----
 
     pub fn place(&mut self, hand: &mut Hand, id: SessId, now: Ms) -> Place {
+        self.clock = now;
         let Some(s) = hand.sess.get(&id) else { return Place::Nothing };
         if s.answered || s.at.is_some() {
             return Place::Nothing;
@@ -327,10 +330,14 @@
     fn link_use(&self, loads: &Loads, server: ServerId) -> f64 {
         let own = |id: &ServerId| loads.get(id).map_or(0.0, |l| l.kb);
         let r = &self.fleet.servers[&server];
-        if let Some(seen) = r.link {
+        if let Some(seen) = r.link.filter(|seen| self.clock - seen.at < STALE) {
             return moved_on(seen, own(&server), self.link_kb(r));
         }
-        let others = |s: &Server| s.link.map(|seen| (seen.value - seen.own / self.link_kb(s)).max(0.0));
+        let others = |s: &Server| {
+            s.link
+                .filter(|seen| self.clock - seen.at < STALE)
+                .map(|seen| (seen.value - seen.own / self.link_kb(s)).max(0.0))
+        };
         let heard = self.fleet.servers.values().filter_map(others);
         let total: f64 = loads.values().map(|l| l.kb).sum();
         own(&server) / self.link_kb(r)
@@ -577,6 +584,7 @@
     // ---- the third call: how long to wait ----
 
     pub fn wait(&mut self, hand: &mut Hand, now: Ms) -> Due {
+        self.clock = now;
         self.step_up(hand, now);
         let mut due = Due { again_at: now + LOOK, ..Due::default() };
         for (id, s) in &mut hand.sess {
--- a/src/front.rs
+++ b/src/front.rs
@@ -11,6 +11,8 @@
     pub fleet: Fleet,
     pub rng: fastrand::Rng,
     pub born: Ms,
+    /// The time of the last call.
+    pub clock: Ms,
     /// When requests were taken and further SETUPs sent, as far back as the budget looks.
     pub taken: VecDeque<Ms>,
     pub further: VecDeque<Ms>,
@@ -26,6 +28,7 @@
             fleet: Fleet::default(),
             rng: fastrand::Rng::with_seed(seed),
             born: now,
+            clock: now,
             taken: VecDeque::new(),
             further: VecDeque::new(),
             rungs: Vec::new(),
