Merge each report half and half with what the table expected

Delivered shares and busy replies still count in full. Should also guard against single wild reports; it lags where a link really changes at once.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -28,6 +28,8 @@
 const PROBE_PACE: Ms = 5_000.0;
 /// After a step down, news older than its own delay and this is of the time before.
 const SETTLE: Ms = 1_000.0;
+/// Weight of a report against what the table expected: reports are noisy.
+const MERGE: f64 = 0.5;
 /// A report older than this no longer counts: its server is as one not heard from.
 const STALE: Ms = 15_000.0;
 /// Shares delivered under this are taken for this.
@@ -85,20 +87,24 @@
 
     /// What is asked of a server's link over what it gives.
     pub fn link_heard(&mut self, hand: &mut Hand, server: ServerId, use_: f64, now: Ms) {
-        self.heard(hand, Line::Link(server), use_, now);
+        self.heard(hand, Line::Link(server), use_, MERGE, now);
     }
 
     /// The same of the uplink of its rack.
     pub fn uplink_heard(&mut self, hand: &mut Hand, server: ServerId, use_: f64, now: Ms) {
         if let Some(rack) = self.rack_of(server) {
-            self.heard(hand, Line::Uplink(rack), use_, now);
+            self.heard(hand, Line::Uplink(rack), use_, MERGE, now);
         }
     }
 
     /// Enters a use in the table. Above 1.0 the newest sessions there are stepped down until this front's
     /// own load fits: every front sheds its own part of what is too much.
-    fn heard(&mut self, hand: &mut Hand, line: Line, use_: f64, now: Ms) {
+    fn heard(&mut self, hand: &mut Hand, line: Line, use_: f64, weight: f64, now: Ms) {
         let own = self.own_kb(&hand.loads(&self.terms), line);
+        let size = match line {
+            Line::Link(id) => self.fleet.servers.get(&id).map_or(1.0, |s| self.link_kb(s)),
+            Line::Uplink(_) => self.terms.uplink_kb.max(1.0),
+        };
         let (seen, settled_at) = match line {
             Line::Link(id) => match self.fleet.servers.get_mut(&id) {
                 Some(s) => (&mut s.link, &mut s.settled_at),
@@ -112,6 +118,10 @@
         if !sound(use_) || now < *settled_at {
             return;
         }
+        let use_ = match (*seen, weight) {
+            (Some(old), w) if now - old.at < STALE => w * use_ + (1.0 - w) * moved_on(old, own, size),
+            _ => use_,
+        };
         *seen = Some(Seen { value: use_, at: now, own });
         if use_ > FULL {
             let settle = now + self.terms.share_delay + SETTLE;
@@ -134,7 +144,7 @@
         let asked = 1.0 / share.max(LEAST_SHARE);
         // Once it is enough again, only what was heard of a shortage no longer stands.
         if share < SHORT || self.link_use(&hand.loads(&self.terms), server) > asked {
-            self.link_heard(hand, server, asked, now);
+            self.heard(hand, Line::Link(server), asked, 1.0, now);
         }
     }
 
@@ -507,7 +517,7 @@
             // A busy reply tells that the link is asked for at least as much as the terms say.
             let loads = hand.loads(&self.terms);
             if let Some(from) = self.terms.busy_from.filter(|f| self.link_use(&loads, server) < *f) {
-                self.link_heard(hand, server, from, now);
+                self.heard(hand, Line::Link(server), from, 1.0, now);
             }
         }
         self.place(hand, id, now)
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -88,10 +88,19 @@
     let mut f = front(terms());
     let mut h = hand((0..3).map(|i| playing(0, 2, 1_000.0 * i as f64)));
     h.sess.values_mut().for_each(|s| s.stepped = NOW - 1_000.0 * ago_s);
-    f.link_heard(&mut h, ServerId(0), use_, NOW);
+    f.share_heard(&mut h, ServerId(0), 1.0 / use_, NOW);
     f.rungs
 }
 
+#[test_case(0.5, 1.3 => 0.9; "one reading over does not make it full")]
+#[test_case(1.1, 1.3 => 1.2; "two do")]
+fn a_report_counts_half_against_what_the_table_expected(held: f64, told: f64) -> f64 {
+    let mut f = front(terms());
+    f.fleet.servers.get_mut(&ServerId(0)).unwrap().link = Some(Seen { value: held, at: NOW, own: 0.0 });
+    f.link_heard(&mut Hand::default(), ServerId(0), told, NOW);
+    (f.fleet.servers[&ServerId(0)].link.unwrap().value * 1e6).round() / 1e6
+}
+
 #[test_case(0.50, 2 => vec![(ONE, 2)]; "room at the higher rate")]
 #[test_case(0.78, 2 => Vec::<(SessId, u8)>::new(); "over the mark at the higher rate")]
 #[test_case(0.50, 1 => Vec::<(SessId, u8)>::new(); "the viewer's top")]
