--- a/src/choice.rs
+++ b/src/choice.rs
@@ -15,9 +15,11 @@
 /// Weights of streams and of link plus uplink in a holder's cost.
 const ALPHA: f64 = 0.5;
 const BETA: f64 = 0.5;
-/// Use from which a new session gets a lower rung, and the use for each further rung lower.
-const MARK: f64 = 0.8;
+/// Use, with the session itself, from which a new one gets a lower rung, and the use for each rung lower.
+const START_MARK: f64 = 0.7;
 const STEP: f64 = 0.1;
+/// Use, at the higher rate, under which a playing session is stepped up.
+const MARK: f64 = 0.8;
 /// Use over which playing sessions are stepped down.
 const FULL: f64 = 1.0;
 /// A session changes rung at most once in this time.
@@ -374,11 +376,6 @@
         here.map(|s| self.link_use(loads, s.listed.id) * self.link_kb(s)).sum::<f64>() / told
     }
 
-    fn fuller(&self, loads: &Loads, server: ServerId) -> f64 {
-        let rack = self.terms.rack(self.fleet.servers[&server].listed.cell);
-        self.link_use(loads, server).max(self.uplink_use(loads, rack))
-    }
-
     /// Use of the fuller of link and uplink when `kb` more is asked of both.
     fn fuller_with(&self, loads: &Loads, server: ServerId, kb: f64) -> f64 {
         let r = &self.fleet.servers[&server];
@@ -418,16 +415,16 @@
 
     // ---- rungs ----
 
-    /// A new session's rung: the top, one lower for each tenth of use above the mark.
+    /// A new session's rung: the top, one lower for each tenth of use above the mark. Use is counted with the
+    /// session at that rung: one at the top may be a good part of a link.
     fn rung_for(&self, loads: &Loads, server: ServerId, s: &Sess) -> u8 {
         let floor = self.terms.groups[s.group.0 as usize].floor;
-        let over = ((self.fuller(loads, server) - MARK) / STEP).ceil().max(0.0) as u8;
-        let mut rung = s.top.saturating_sub(over).max(floor);
-        // A single session may be a good part of a link: it is not let in at a rung that overfills it.
-        while rung > floor && self.fuller_with(loads, server, self.terms.rate(s.group, rung)) > MARK {
-            rung -= 1;
-        }
-        rung
+        let fits = |rung: &u8| {
+            let used = self.fuller_with(loads, server, self.terms.rate(s.group, *rung));
+            let lower = ((used - START_MARK) / STEP).ceil().max(0.0);
+            (s.top - *rung) as f64 >= lower
+        };
+        (floor..=s.top).rev().find(fits).unwrap_or(floor)
     }
 
     /// Steps the newest of the sessions on a line down a rung each until their load is at most `fits`.
