Shed the last rung by chance, so that all fronts together shed what is too much

Should also guard against swings wherever many fronts share a line; a single front may now need a second report to shed enough.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -442,7 +442,13 @@
                 break;
             }
             if now - s.stepped >= HOLD && s.rung > terms.groups[s.group.0 as usize].floor {
-                load -= terms.rate(s.group, s.rung) - terms.rate(s.group, s.rung - 1);
+                let less = terms.rate(s.group, s.rung) - terms.rate(s.group, s.rung - 1);
+                // A rung may be far more than this front's part of the excess: the last one goes by chance,
+                // or all fronts together would shed several times what is too much.
+                if load - fits < less * self.rng.f64() {
+                    break;
+                }
+                load -= less;
                 (s.rung, s.stepped) = (s.rung - 1, now);
                 self.rungs.push((id, s.rung));
             }
