--- a/src/choice.rs
+++ b/src/choice.rs
@@ -632,13 +632,14 @@
     }
 }
 
-/// A figure heard, moved on by what this front's own load has changed since. Above full, its own load stands
-/// for the whole: if it sheds its part, so do the others.
+/// A figure heard, moved on by what this front's own load has changed since. Once this front has shed its part
+/// of what was over full, the others are taken to have shed theirs.
 fn moved_on(seen: Seen, own: f64, size: f64) -> f64 {
+    let now = (seen.value + (own - seen.own) / size).max(0.0);
     if seen.value > FULL && own < seen.own {
-        seen.value * own / seen.own
+        now.min(FULL)
     } else {
-        (seen.value + (own - seen.own) / size).max(0.0)
+        now
     }
 }
 
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -102,6 +102,14 @@
     (f.fleet.servers[&ServerId(0)].link.unwrap().value * 1e6).round() / 1e6
 }
 
+#[test_case(1.3 => None; "full still, though this front has left")]
+#[test_case(0.9 => Some(0); "room")]
+fn a_full_link_is_not_empty_once_this_front_has_left_it(heard: f64) -> Option<u32> {
+    let mut f = front(terms());
+    f.fleet.servers.get_mut(&ServerId(0)).unwrap().link = Some(Seen { value: heard, at: NOW, own: 400.0 });
+    went_to(&f.place(&mut hand([Sess { span: 1, ..sess() }]), ONE, NOW))
+}
+
 #[test_case(0.50, 2 => vec![(ONE, 2)]; "room at the higher rate")]
 #[test_case(0.78, 2 => Vec::<(SessId, u8)>::new(); "over the mark at the higher rate")]
 #[test_case(0.50, 1 => Vec::<(SessId, u8)>::new(); "the viewer's top")]
