Fronts tell each other once a second what they heard of links

A front hears of a link only where it holds sessions, and late. One message a second, 6 bytes a server, heard by the others at the weight of a report; it steps nobody down, as each report would then do so at every front.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -32,6 +32,9 @@
 const SETTLE: Ms = 1_000.0;
 /// Weight of a report against what the table expected: reports are noisy.
 const MERGE: f64 = 0.5;
+/// How often the other fronts are told what was heard of links, and how long a message is at most.
+const TELL_PACE: Ms = 1_000.0;
+const MESSAGE_MOST: usize = 252;
 /// A report older than this no longer counts: its server is as one not heard from.
 const STALE: Ms = 15_000.0;
 /// Shares delivered under this are taken for this.
@@ -99,42 +102,47 @@
         }
     }
 
-    /// Enters a use in the table. Above 1.0 the newest sessions there are stepped down until this front's
+    /// What this front heard itself of a line. Above 1.0 the newest sessions there are stepped down until its
     /// own load fits: every front sheds its own part of what is too much.
     fn heard(&mut self, hand: &mut Hand, line: Line, use_: f64, weight: f64, now: Ms) {
         let own = self.own_kb(&hand.loads(&self.terms), line);
-        let size = match line {
-            Line::Link(id) => self.fleet.servers.get(&id).map_or(1.0, |s| self.link_kb(s)),
-            Line::Uplink(_) => self.terms.uplink_kb.max(1.0),
-        };
-        let (seen, settled_at) = match line {
-            Line::Link(id) => match self.fleet.servers.get_mut(&id) {
-                Some(s) => (&mut s.link, &mut s.settled_at),
-                None => return,
-            },
+        let Some(use_) = self.enter(own, line, use_, weight, now) else { return };
+        if let Line::Link(id) = line {
+            self.fleet.servers.get_mut(&id).expect("entered").first_hand = Some((use_, now));
+        }
+        if use_ > FULL && self.shed(hand, line, own / use_, now) {
+            self.log.push(format!("over {line:?} use={use_:.2}"));
+            let settled_at = now + self.terms.share_delay + SETTLE;
+            match line {
+                Line::Link(id) => self.fleet.servers.get_mut(&id).expect("entered").settled_at = settled_at,
+                Line::Uplink(no) => self.fleet.racks.get_mut(&no).expect("entered").settled_at = settled_at,
+            }
+        }
+    }
+
+    /// Enters a use in the table, merged by its weight with what the table expected; gives the use now held.
+    /// Just after a step down, what is told is still of the time before and stays out.
+    fn enter(&mut self, own: f64, line: Line, use_: f64, weight: f64, now: Ms) -> Option<f64> {
+        let (seen, settled_at, size) = match line {
+            Line::Link(id) => {
+                let size = self.link_kb(self.fleet.servers.get(&id)?);
+                let s = self.fleet.servers.get_mut(&id)?;
+                (&mut s.link, s.settled_at, size)
+            }
             Line::Uplink(no) => {
                 let r = self.fleet.racks.entry(no).or_default();
-                (&mut r.uplink, &mut r.settled_at)
+                (&mut r.uplink, r.settled_at, self.terms.uplink_kb.max(1.0))
             }
         };
-        if !sound(use_) || now < *settled_at {
-            return;
+        if !sound(use_) || now < settled_at {
+            return None;
         }
-        let use_ = match (*seen, weight) {
-            (Some(old), w) if now - old.at < STALE => w * use_ + (1.0 - w) * moved_on(old, own, size),
+        let use_ = match *seen {
+            Some(old) if now - old.at < STALE => weight * use_ + (1.0 - weight) * moved_on(old, own, size),
             _ => use_,
         };
         *seen = Some(Seen { value: use_, at: now, own });
-        if use_ > FULL {
-            let settle = now + self.terms.share_delay + SETTLE;
-            if self.shed(hand, line, own / use_, now) {
-                self.log.push(format!("over {line:?} use={use_:.2}"));
-                match line {
-                    Line::Link(id) => self.fleet.servers.get_mut(&id).expect("heard").settled_at = settle,
-                    Line::Uplink(no) => self.fleet.racks.get_mut(&no).expect("heard").settled_at = settle,
-                }
-            }
-        }
+        Some(use_)
     }
 
     /// The share of their rates that sessions at a server got: its link is asked for so much more than it
@@ -150,6 +158,35 @@
         }
     }
 
+    /// What this front heard first hand of links since its last message, for the other fronts. Each entry is
+    /// the server's id and its link's use in thousandths, both little-endian.
+    fn message(&mut self, now: Ms) -> Option<Vec<u8>> {
+        if !self.terms.may_message || self.terms.fronts < 2 || now - self.told_at < TELL_PACE {
+            return None;
+        }
+        let mut bytes = Vec::new();
+        for s in self.fleet.servers.values() {
+            if let Some((use_, _)) = s.first_hand.filter(|(_, at)| *at > self.told_at) {
+                bytes.extend(s.listed.id.0.to_le_bytes());
+                bytes.extend(((use_ * 1e3).min(6e4) as u16).to_le_bytes());
+            }
+        }
+        self.told_at = now;
+        bytes.truncate(MESSAGE_MOST);
+        (!bytes.is_empty()).then_some(bytes)
+    }
+
+    /// What another front heard: it enters the table, but only what is heard first hand steps anyone down,
+    /// or each report would do so at every front. It may be late, lost or garbled; nothing relies on it.
+    pub fn peer_heard(&mut self, hand: &Hand, bytes: &[u8], now: Ms) {
+        for entry in bytes.chunks_exact(6) {
+            let id = ServerId(u32::from_le_bytes([entry[0], entry[1], entry[2], entry[3]]));
+            let use_ = u16::from_le_bytes([entry[4], entry[5]]) as f64 / 1e3;
+            let own = self.own_kb(&hand.loads(&self.terms), Line::Link(id));
+            self.enter(own, Line::Link(id), use_, MERGE, now);
+        }
+    }
+
     /// The answer to a probe.
     pub fn probed(&mut self, server: ServerId, answered: bool, now: Ms) {
         let Some(s) = self.fleet.servers.get_mut(&server) else { return };
@@ -599,7 +636,7 @@
     pub fn wait(&mut self, hand: &mut Hand, now: Ms) -> Due {
         self.clock = now;
         self.step_up(hand, now);
-        let mut due = Due { again_at: now + LOOK, ..Due::default() };
+        let mut due = Due { again_at: now + LOOK, message: self.message(now), ..Due::default() };
         for (id, s) in &mut hand.sess {
             match s.held_until {
                 Some(t) if t <= now => {
--- a/src/front.rs
+++ b/src/front.rs
@@ -13,6 +13,8 @@
     pub born: Ms,
     /// The time of the last call.
     pub clock: Ms,
+    /// When the other fronts were last told what was heard.
+    pub told_at: Ms,
     /// When requests were taken and further SETUPs sent, as far back as the budget looks.
     pub taken: VecDeque<Ms>,
     pub further: VecDeque<Ms>,
@@ -29,6 +31,7 @@
             rng: fastrand::Rng::with_seed(seed),
             born: now,
             clock: now,
+            told_at: now,
             taken: VecDeque::new(),
             further: VecDeque::new(),
             rungs: Vec::new(),
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -102,6 +102,15 @@
     (f.fleet.servers[&ServerId(0)].link.unwrap().value * 1e6).round() / 1e6
 }
 
+#[test_case(&[3, 0, 0, 0, 0xE8, 0x03] => 0.75; "use of 1.0 of the fourth server")]
+#[test_case(&[3, 0, 0] => 0.5; "cut short")]
+#[test_case(&[9, 9, 9, 9, 0, 0] => 0.5; "a server that no list has named")]
+fn what_another_front_heard_enters_the_table(bytes: &[u8]) -> f64 {
+    let mut f = front(terms());
+    f.peer_heard(&Hand::default(), bytes, NOW);
+    f.fleet.servers[&ServerId(3)].link.unwrap().value
+}
+
 #[test_case(1.3 => None; "full still, though this front has left")]
 #[test_case(0.9 => Some(0); "room")]
 fn a_full_link_is_not_empty_once_this_front_has_left_it(heard: f64) -> Option<u32> {
