A probe, not a viewer's session, tries a server that was set aside

Should also cover hung and erring servers; a server that answers probes but fails set-ups comes back sooner than before.

--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -142,9 +142,9 @@
             8 => {
                 let (server, how, _took) = (ServerId(r.u32()?), r.u16()?, r.f64()?);
                 let load = values(r)?;
-                let answered = ending(how)? == Ending::Done;
+                let ending = ending(how)?;
                 if let Some(i) = known {
-                    i.front.probed(server, answered, now);
+                    i.front.probed(server, ending, now);
                     i.front.report(&mut i.hand, server, &load, now);
                 }
             }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -188,11 +188,9 @@
     }
 
     /// The answer to a probe.
-    pub fn probed(&mut self, server: ServerId, answered: bool, now: Ms) {
-        let Some(s) = self.fleet.servers.get_mut(&server) else { return };
-        if answered && s.died.is_some() && s.back.is_none() {
-            s.back = Some(now);
-        }
+    pub fn probed(&mut self, server: ServerId, ending: Ending, now: Ms) {
+        let how = if ending == Ending::Done { None } else { Some(ending) };
+        self.judge(server, how, now);
     }
 
     // ---- the first call: where to ----
@@ -647,12 +645,22 @@
                 None => {}
             }
         }
+        if self.terms.may_probe {
+            // A probe, not a viewer's session, tries a server that was set aside.
+            for s in self.fleet.servers.values_mut() {
+                if s.listed.listing == Listing::Ready && s.fails > 0 && s.aside_until <= now {
+                    s.aside_until = now + ASIDE;
+                    due.probes.push(s.listed.id);
+                }
+            }
+        }
         if self.terms.may_probe && self.terms.probe_fed {
             let loads = hand.loads(&self.terms);
             for s in self.fleet.servers.values_mut().filter(|s| loads.contains_key(&s.listed.id)) {
                 let next = now + PROBE_PACE * (0.9 + 0.2 * self.rng.f64());
                 let first = now + PROBE_PACE * self.rng.f64();
-                if s.listed.listing != Listing::Gone && *s.probe_at.get_or_insert(first) <= now {
+                let listed = s.listed.listing != Listing::Gone && s.fails == 0;
+                if listed && *s.probe_at.get_or_insert(first) <= now {
                     s.probe_at = Some(next);
                     due.probes.push(s.listed.id);
                 }
