A report lacks what this front added since it was made: add it

Cause: a report made before a start or a step up arrived after it and made the link look emptier, so more was added. The lag taken is that of delivered shares, which the settings tell. Should guard against double use of room whatever the delay is.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -92,7 +92,13 @@
 
     /// What is asked of a server's link over what it gives.
     pub fn link_heard(&mut self, hand: &mut Hand, server: ServerId, use_: f64, now: Ms) {
-        self.heard(hand, Line::Link(server), use_, MERGE, now);
+        let Some(size) = self.fleet.servers.get(&server).map(|s| self.link_kb(s)).filter(|_| sound(use_))
+        else {
+            return;
+        };
+        // It is about as late as a delivered share: what this front has added since is not yet in it.
+        let since = hand.grown_since(&self.terms, server, now - self.terms.share_delay) / size;
+        self.heard(hand, Line::Link(server), (use_ + since).max(0.0), MERGE, now);
     }
 
     /// The same of the uplink of its rack.
@@ -213,6 +219,7 @@
                 }
                 let s = hand.sess.get_mut(&id).expect("the session that was just read");
                 (s.at, s.rung, s.sent, s.held_until) = (Some(*server), *rung, now, None);
+                (s.was_kb, s.changed) = (0.0, now);
                 s.setups += 1;
             }
             Place::NotYet | Place::Nothing => {}
@@ -484,6 +491,7 @@
                     break;
                 }
                 load -= less;
+                (s.was_kb, s.changed) = (terms.rate(s.group, s.rung), now);
                 (s.rung, s.stepped) = (s.rung - 1, now);
                 self.rungs.push((id, s.rung));
             }
@@ -511,6 +519,7 @@
             let kb = self.terms.rate(s.group, s.rung + 1) - self.terms.rate(s.group, s.rung);
             let Some(fronts) = self.may_step_up(at, now) else { continue };
             if self.fuller_with(&loads, at, kb * fronts) < MARK {
+                (s.was_kb, s.changed) = (self.terms.rate(s.group, s.rung), now);
                 (s.rung, s.stepped) = (s.rung + 1, now);
                 loads.entry(at).or_default().kb += kb;
                 self.fleet.servers.get_mut(&at).expect("listed").raised_at = now;
--- a/src/front.rs
+++ b/src/front.rs
@@ -93,6 +93,8 @@
             tried: Vec::new(),
             sent: now,
             stepped: Ms::NEG_INFINITY,
+            was_kb: 0.0,
+            changed: Ms::NEG_INFINITY,
             may_have_run: None,
             held_until: None,
         }
--- a/src/hand.rs
+++ b/src/hand.rs
@@ -27,6 +27,9 @@
     pub sent: Ms,
     /// Last change of rung while playing, or the start.
     pub stepped: Ms,
+    /// Its rate before the last change of it, and when that was.
+    pub was_kb: f64,
+    pub changed: Ms,
     /// The first SETUP that may have run: where, and when it was sent.
     pub may_have_run: Option<(ServerId, Ms)>,
     /// When to ask again, while it is held.
@@ -59,6 +62,12 @@
         sums
     }
 
+    /// How much more the sessions at a server ask now than they did at an earlier time.
+    pub fn grown_since(&self, terms: &Terms, server: ServerId, then: Ms) -> f64 {
+        let late = self.sess.values().filter(|s| s.at == Some(server) && s.changed > then);
+        late.map(|s| terms.rate(s.group, s.rung) - s.was_kb).sum()
+    }
+
     /// Sessions of one title and service group, SETUPs still out included.
     pub fn seated(&self, title: TitleId, group: GroupNo) -> u32 {
         let same = |s: &&Sess| s.at.is_some() && s.title == title && s.group == group;
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -119,6 +119,16 @@
     went_to(&f.place(&mut hand([Sess { span: 1, ..sess() }]), ONE, NOW))
 }
 
+#[test_case(100.0 => 0.6; "started since: 400 of 2000 kB more")]
+#[test_case(900.0 => 0.5; "in it already")]
+fn a_report_lacks_what_was_added_since_it_was_made(ago: Ms) -> f64 {
+    let mut f = front(terms());
+    f.fleet.servers.get_mut(&ServerId(0)).unwrap().link = Some(Seen { value: 0.5, at: NOW, own: 400.0 });
+    let mut h = hand([Sess { changed: NOW - ago, ..playing(0, 2, NOW - ago) }]);
+    f.link_heard(&mut h, ServerId(0), 0.5, NOW);
+    f.fleet.servers[&ServerId(0)].link.unwrap().value
+}
+
 #[test_case(0.50, 2 => vec![(ONE, 2)]; "room at the higher rate")]
 #[test_case(0.78, 2 => Vec::<(SessId, u8)>::new(); "over the mark at the higher rate")]
 #[test_case(0.50, 1 => Vec::<(SessId, u8)>::new(); "the viewer's top")]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -83,6 +83,8 @@
         tried: Vec::new(),
         sent: NOW,
         stepped: Ms::NEG_INFINITY,
+        was_kb: 0.0,
+        changed: Ms::NEG_INFINITY,
         may_have_run: None,
         held_until: None,
     }
