--- a/src/choice.rs
+++ b/src/choice.rs
@@ -193,8 +193,11 @@
         for entry in bytes.chunks_exact(6) {
             let id = ServerId(u32::from_le_bytes([entry[0], entry[1], entry[2], entry[3]]));
             let use_ = u16::from_le_bytes([entry[4], entry[5]]) as f64 / 1e3;
+            let Some(size) = self.fleet.servers.get(&id).map(|s| self.link_kb(s)) else { continue };
+            let then = now - self.terms.share_delay - TELL_PACE;
+            let since = hand.grown_since(&self.terms, |s| s.at == Some(id), then) / size;
             let own = self.own_kb(&hand.loads(&self.terms), Line::Link(id));
-            self.enter(own, Line::Link(id), use_, MERGE, now);
+            self.enter(own, Line::Link(id), (use_ + since).max(0.0), MERGE, now);
         }
     }
 
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -111,6 +111,16 @@
     f.fleet.servers[&ServerId(3)].link.unwrap().value
 }
 
+#[test_case(1_400.0 => 0.6; "started since")]
+#[test_case(1_600.0 => 0.5; "in it already")]
+fn what_another_front_heard_is_a_telling_older(ago: Ms) -> f64 {
+    let mut f = front(terms());
+    f.fleet.servers.get_mut(&ServerId(3)).unwrap().link = Some(Seen { value: 0.5, at: NOW, own: 400.0 });
+    let h = hand([Sess { changed: NOW - ago, ..playing(3, 2, NOW - ago) }]);
+    f.peer_heard(&h, &[3, 0, 0, 0, 0xF4, 0x01], NOW);
+    f.fleet.servers[&ServerId(3)].link.unwrap().value
+}
+
 #[test_case(1.3 => None; "full still, though this front has left")]
 #[test_case(0.9 => Some(0); "room")]
 fn a_full_link_is_not_empty_once_this_front_has_left_it(heard: f64) -> Option<u32> {
