--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -291,3 +291,18 @@
     let n = r.u8()?;
     (0..n).map(|_| Ok(r.f32()? as f64)).collect()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    #[test_case(&[99] => "batch 5: record 0 at byte 20: byte 20: unknown event code 99"; "unknown event")]
+    #[test_case(&[3, 1, 0] => "batch 5: record 0 at byte 20: byte 21: 4 bytes wanted, 2 left"; "cut short")]
+    #[test_case(&[2, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 4, 0, 2]
+        => "batch 5: record 0 at byte 20: list 4 was never sent"; "list never sent")]
+    fn what_is_wrong_in_a_batch_is_named(record: &[u8]) -> String {
+        let bytes = [&[0; HEADER], record].concat();
+        Host::default().batch(&Frame { index: 5, clock: 0.0, records: 1, bytes }).unwrap_err()
+    }
+}
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -107,3 +107,20 @@
         self.0
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    #[test_case(&[] => Ok(false); "clean end")]
+    #[test_case(&[1, 0] => Err("input ends at byte 2 of a frame's header".into()); "short header")]
+    #[test_case(&[1, 0, 0, 0, 9, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0]
+        => Err("batch 1: byte 4: length 9 is under a header's 20".into()); "length under a header")]
+    #[test_case(&[1, 0, 0, 0, 22, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1, 0, 0, 0, 7]
+        => Err("batch 1: input ends at byte 21 of 22".into()); "short body")]
+    #[test_case(&[1, 0, 0, 0, 20, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0] => Ok(true); "empty batch")]
+    fn a_frame_is_read_whole_or_named_wrong(bytes: &[u8]) -> Result<bool, String> {
+        read_frame(&mut &bytes[..]).map(|frame| frame.is_some())
+    }
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -27,7 +27,7 @@
 /// Shares delivered under this tell of a link or uplink that is asked too much.
 const SHORT: f64 = 0.98;
 /// Time between the probes of a server in use.
-const PROBE_PACE: Ms = 5_000.0;
+const PROBE_PACE: Ms = 7_000.0;
 /// After a step down, news older than its own delay and this is of the time before.
 const SETTLE: Ms = 1_000.0;
 /// Weight of a report against what the table expected: reports are noisy.
