--- a/src/choice.rs
+++ b/src/choice.rs
@@ -28,6 +28,8 @@
 const SHORT: f64 = 0.98;
 /// Time between the probes of a server in use.
 const PROBE_PACE: Ms = 7_000.0;
+/// Part of that by which probes are spread, so that fronts do not probe in step.
+const PROBE_SPREAD: f64 = 0.2;
 /// After a step down, news older than its own delay and this is of the time before.
 const SETTLE: Ms = 1_000.0;
 /// Weight of a report against what the table expected: reports are noisy.
@@ -41,6 +43,8 @@
 const LEAST_SHARE: f64 = 0.1;
 /// Share of the start target that the first SETUP may take while others could follow.
 const FIRST_SHARE: f64 = 0.45;
+/// A time-out under this share of the start target would cut off sound servers.
+const LEAST_TIMEOUT: f64 = 0.1;
 /// Failures in a row from which a server is set aside, for how long at first, and at most.
 const ASIDE_FROM: u32 = 1;
 const ASIDE: Ms = 1_000.0;
@@ -49,6 +53,8 @@
 const COLD_CERTAIN: f64 = 0.7;
 /// Part of the span at the head of a front's turn in which it may send to a cold server.
 const TURN_HEAD: f64 = 0.5;
+/// Part of that head which is used: what is sent at its end still arrives within it.
+const HEAD_USED: f64 = 0.9;
 /// An answer is given this long before the viewer gives up.
 const ANSWER_MARGIN: Ms = 30.0;
 /// Fronts take turns of this length at stepping up on a rack, so that they do not fill the same room twice.
@@ -273,7 +279,7 @@
         let able = with_room;
         let mut pick = self.cheapest(&loads, able.iter().filter(sound_ones), now);
         if pick.is_none() {
-            // All holders failed lately or did not take this session: any but the last one that failed it.
+            // All holders are set aside or did not take this session: any but the last one tried.
             let others = able.iter().filter(|r| s.tried.last() != Some(r) || able.len() == 1);
             pick = self.cheapest(&loads, others, now);
         }
@@ -286,7 +292,7 @@
         let target_left = s.came + group.start_target - now;
         let further_ok = s.setups + 1 < self.terms.max_setups && able.len() > 1;
         let timeout = match target_left * FIRST_SHARE {
-            t if further_ok && t >= group.start_target * FIRST_SHARE * 0.25 => t.min(left),
+            t if further_ok && t >= group.start_target * LEAST_TIMEOUT => t.min(left),
             _ => left,
         };
         Place::Setup { server, rung, timeout }
@@ -328,7 +334,7 @@
     /// Guards the budget for further SETUPs: counted before the one that is about to be sent.
     fn budget_left(&mut self, now: Ms) -> bool {
         let Some(b) = self.terms.budget else { return true };
-        // A request just at the edge of the span may fall out of the count, a further SETUP may still be in it.
+        // At the edge of the span a request may no longer count, a further SETUP still may.
         self.taken.retain(|t| *t > now - b.span);
         self.further.retain(|t| *t >= now - b.span);
         (self.further.len() + 1) as f64 <= b.free + b.share * self.taken.len() as f64
@@ -434,7 +440,7 @@
 
     /// Whether one more session at its lowest rung fits a server's link and uplink once all there stand at
     /// theirs. Others are taken to stand as high as this front's own. Guards against a crowd in which
-    /// everyone gets too little to be worth watching: there, a busy reply is worth more than one more
+    /// everyone gets too little to go on watching: there, a busy reply does less harm than one more
     /// session. It can turn viewers away for nothing while a shortage that was heard is already over.
     fn has_room(&self, hand: &Hand, loads: &Loads, server: ServerId, new: &Sess) -> bool {
         let floor = |s: &Sess| self.terms.rate(s.group, self.terms.groups[s.group.0 as usize].floor);
@@ -637,7 +643,7 @@
             let turn = span + head;
             let round = turn * fronts;
             let since = (now + wait - turn * self.terms.my_number as f64).rem_euclid(round);
-            if since > head * 0.9 {
+            if since > head * HEAD_USED {
                 wait += round - since;
             }
         }
@@ -672,7 +678,7 @@
         if self.terms.may_probe && self.terms.probe_fed {
             let loads = hand.loads(&self.terms);
             for s in self.fleet.servers.values_mut().filter(|s| loads.contains_key(&s.listed.id)) {
-                let next = now + PROBE_PACE * (0.9 + 0.2 * self.rng.f64());
+                let next = now + PROBE_PACE * (1.0 + PROBE_SPREAD * (self.rng.f64() - 0.5));
                 let first = now + PROBE_PACE * self.rng.f64();
                 let listed = s.listed.listing != Listing::Gone && s.fails == 0;
                 if listed && *s.probe_at.get_or_insert(first) <= now {
@@ -692,8 +698,8 @@
     }
 }
 
-/// A figure heard, moved on by what this front's own load has changed since. Once this front has shed its part
-/// of what was over full, the others are taken to have shed theirs.
+/// A figure heard, moved on by what this front's own load has changed since. Once this front has shed its
+/// part of what was over full, the others are taken to have shed theirs.
 fn moved_on(seen: Seen, own: f64, size: f64) -> f64 {
     let now = (seen.value + (own - seen.own) / size).max(0.0);
     if seen.value > FULL && own < seen.own {
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -74,7 +74,6 @@
     pub busy_from: Option<f64>,
     /// How late a delivered share is heard.
     pub share_delay: Ms,
-    pub switch_cost: Ms,
     pub columns: Vec<Column>,
     pub probe_fed: bool,
     pub may_probe: bool,
@@ -175,7 +174,6 @@
             uplink_kb: told.need("family_info.uplink_kb")?,
             busy_from: told.opt("family_info.refuses_from")?.filter(|x: &f64| *x > 0.0),
             share_delay: told.opt("family_info.see")?.unwrap_or(0.0),
-            switch_cost: told.opt::<f64>("family_info.switch_cost_s")?.unwrap_or(0.0) * 1000.0,
             columns: columns.split(',').filter(|c| !c.is_empty()).map(column).collect(),
             probe_fed: told.text("reporting.via") == Some("pull"),
             may_probe: told.text("limits.probes") == Some("true"),
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -30,7 +30,6 @@
         uplink_kb: 4_000.0,
         busy_from: None,
         share_delay: 500.0,
-        switch_cost: 500.0,
         columns: vec![Column::Streams, Column::Link],
         probe_fed: true,
         may_probe: true,
