--- a/src/choice.rs
+++ b/src/choice.rs
@@ -718,10 +718,3 @@
 fn sound(x: f64) -> bool {
     x.is_finite() && (0.0..1e4).contains(&x)
 }
-
-impl Ending {
-    /// Whether this proves that the SETUP had no effect.
-    fn never_ran(self) -> bool {
-        matches!(self, Ending::BusyReplied | Ending::NoConnection | Ending::NeverSent)
-    }
-}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -31,6 +31,13 @@
     NeverSent,
 }
 
+impl Ending {
+    /// Whether this proves that the SETUP had no effect.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Ending::BusyReplied | Ending::NoConnection | Ending::NeverSent)
+    }
+}
+
 /// What is due now, and when to ask again.
 #[derive(Debug, Default, PartialEq)]
 pub struct Due {
