--- a/src/terms.rs
+++ b/src/terms.rs
@@ -137,13 +137,15 @@
             g.top = g.top.min(highest);
             g.floor = g.floor.min(g.top);
         }
+        let columns = told.text("reporting.columns").unwrap_or("");
+        // Without x0, util says the same of the link, but for its end at 1.
+        let link = if columns.split(',').any(|c| c == "x0") { "x0" } else { "util" };
         let column = |name: &str| match name {
             "inflight" => Column::Streams,
-            "x0" => Column::Link,
+            name if name == link => Column::Link,
             "x1" => Column::Uplink,
             _ => Column::Other,
         };
-        let columns = told.text("reporting.columns").unwrap_or("");
         let budget = match told.opt("safety.look_back")? {
             Some(span) => Some(Budget {
                 span,
--- a/tests/terms.rs
+++ b/tests/terms.rs
@@ -1,6 +1,6 @@
 //! The terms as a deployment states them.
 use test_case::test_case;
-use walnutline::terms::Terms;
+use walnutline::terms::{Column, Terms};
 
 const LEAST: &str = "classes.count=1\nclasses.0.aim=800\nclasses.0.worth=1\nclasses.0.repeat=repeatable\n\
     family_info.level_kb=100,200\nfamily_info.level_worth=0.5,1\nfamily_info.places=6\nfamily_info.racks=2\n\
@@ -20,3 +20,9 @@
     assert!(t.budget.is_none() && t.cold.is_none() && t.busy_from.is_none());
     assert!(!t.may_probe && !t.may_message && !t.tells_return && t.columns.is_empty());
 }
+
+#[test_case("inflight,util" => vec![Column::Streams, Column::Link]; "util alone")]
+#[test_case("util,x0,x1" => vec![Column::Other, Column::Link, Column::Uplink]; "x0 beside it")]
+fn columns_are_told_apart(columns: &str) -> Vec<Column> {
+    Terms::parse(&format!("{LEAST}reporting.columns={columns}\n")).unwrap().columns
+}
