A server in its warm-up counts as empty, not as average, until it is heard from

The smallest exception to 'unheard counts as average'; should also serve releases and servers switched on; it can fill such a server unseen before a report.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -209,8 +209,7 @@
 
     /// The answer to a probe.
     pub fn probed(&mut self, server: ServerId, ending: Ending, now: Ms) {
-        let how = if ending == Ending::Done { None } else { Some(ending) };
-        self.judge(server, how, now);
+        self.judge(server, (ending != Ending::Done).then_some(ending), now);
     }
 
     // ---- the first call: where to ----
@@ -389,7 +388,7 @@
         }
         let heard = self.fleet.servers.values().filter_map(|s| s.streams.map(|seen| seen.value - seen.own));
         let total: f64 = loads.values().map(|l| l.streams).sum();
-        own(&server) + mean(heard).unwrap_or_else(|| self.of_others(total))
+        own(&server) + self.unheard(server, mean(heard), total)
     }
 
     /// Use of a server's link, likewise.
@@ -406,14 +405,21 @@
         };
         let heard = self.fleet.servers.values().filter_map(others);
         let total: f64 = loads.values().map(|l| l.kb).sum();
-        own(&server) / self.link_kb(r)
-            + mean(heard).unwrap_or_else(|| self.of_others(total) / self.link_kb(r))
+        own(&server) / self.link_kb(r) + self.unheard(server, mean(heard), total / self.link_kb(r))
     }
 
-    /// A server's part of what the other fronts carry, while nothing is heard: as much each as this one.
-    fn of_others(&self, own_total: f64) -> f64 {
+    /// What the other fronts carry on a server not heard from: the average of the others, or, while nothing
+    /// is heard, as much as this front carries itself. A server that the list tells to be in its warm-up
+    /// carries only what is sent to it: a building that comes back would look as full as those that took its
+    /// load. It can fill up unseen where all fronts send there before any report.
+    fn unheard(&self, server: ServerId, average: Option<f64>, own_total: f64) -> f64 {
+        let started = self.fleet.servers[&server].listed.started;
+        if started.zip(self.terms.cold).is_some_and(|(t, cold)| self.clock < t + cold.lasts) {
+            return 0.0;
+        }
         let ready = self.fleet.servers.values().filter(|s| s.listed.listing == Listing::Ready).count();
-        own_total * self.terms.fronts.saturating_sub(1) as f64 / ready.max(1) as f64
+        let fronts = self.terms.fronts.saturating_sub(1) as f64;
+        average.unwrap_or(own_total * fronts / ready.max(1) as f64)
     }
 
     /// Use of a rack's uplink: what was heard, else the sum of its links' loads over its told size.
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -102,6 +102,21 @@
     (f.fleet.servers[&ServerId(0)].link.unwrap().value * 1e6).round() / 1e6
 }
 
+#[test_case(None => 0; "average of a full fleet")]
+#[test_case(Some(NOW - 5_000.0) => 2; "just started, so empty")]
+#[test_case(Some(NOW - 50_000.0) => 0; "started long ago")]
+fn a_server_in_its_warm_up_counts_as_empty_until_heard_from(started: Option<Ms>) -> u8 {
+    let mut f = front(walnutline::terms::Terms { cold: Some(cold()), uplink_kb: 1e6, ..terms() });
+    f.fleet.servers.values_mut().for_each(|s| s.link.as_mut().unwrap().value = 0.95);
+    let s = f.fleet.servers.get_mut(&ServerId(0)).unwrap();
+    (s.link, s.listed.started) = (None, started);
+    f.terms.fronts = 1;
+    match f.place(&mut hand([Sess { span: 1, ..sess() }]), ONE, NOW) {
+        Place::Setup { rung, .. } => rung,
+        other => panic!("{other:?}"),
+    }
+}
+
 #[test_case(&[3, 0, 0, 0, 0xE8, 0x03] => 0.75; "use of 1.0 of the fourth server")]
 #[test_case(&[3, 0, 0] => 0.5; "cut short")]
 #[test_case(&[9, 9, 9, 9, 0, 0] => 0.5; "a server that no list has named")]
