--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -58,8 +58,6 @@
     pub probe_at: Option<Ms>,
     /// Sessions there were stepped down; what is heard before this tells of the time before.
     pub settled_at: Ms,
-    /// When this front last stepped a session there up.
-    pub raised_at: Ms,
 }
 
 impl Server {
@@ -76,7 +74,6 @@
             sent_cold: Vec::new(),
             probe_at: None,
             settled_at: Ms::NEG_INFINITY,
-            raised_at: Ms::NEG_INFINITY,
         }
     }
 }
