A message between fronts waits until requests have paid for its receivers

A front now spends at most 0.01 a request on messages; with two or three fronts that pays for the telling each second, with a hundred for hardly any. Guards against any price that grows with the fleet. It can harm where messages are worth more than that.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -37,6 +37,8 @@
 /// How often the other fronts are told what was heard of links, and how long a message is at most.
 const TELL_PACE: Ms = 1_000.0;
 const MESSAGE_MOST: usize = 252;
+/// What a front may spend on messages for each request that it has taken, in utility of a session.
+const MESSAGE_SPEND: f64 = 0.01;
 /// A report older than this no longer counts: its server is as one not heard from.
 const STALE: Ms = 15_000.0;
 /// Shares delivered under this are taken for this.
@@ -177,7 +179,8 @@
     }
 
     /// What this front heard first hand of links since its last message, for the other fronts. Each entry is
-    /// the server's id and its link's use in thousandths, both little-endian.
+    /// the server's id and its link's use in thousandths, both little-endian. Each receiver is paid for, so
+    /// that telling everyone grows with the square of the fronts: a message waits until requests have paid.
     fn message(&mut self, now: Ms) -> Option<Vec<u8>> {
         if !self.terms.may_message || self.terms.fronts < 2 || now - self.told_at < TELL_PACE {
             return None;
@@ -191,7 +194,12 @@
         }
         self.told_at = now;
         bytes.truncate(MESSAGE_MOST);
-        (!bytes.is_empty()).then_some(bytes)
+        let price = self.terms.message_price * bytes.len() as f64 * (self.terms.fronts - 1) as f64;
+        if bytes.is_empty() || self.spent + price > MESSAGE_SPEND * self.asked as f64 {
+            return None;
+        }
+        self.spent += price;
+        Some(bytes)
     }
 
     /// What another front heard: it enters the table, but only what is heard first hand steps anyone down,
--- a/src/front.rs
+++ b/src/front.rs
@@ -15,6 +15,9 @@
     pub clock: Ms,
     /// When the other fronts were last told what was heard.
     pub told_at: Ms,
+    /// Requests taken since the start, and what messages have cost.
+    pub asked: u64,
+    pub spent: f64,
     /// When requests were taken and further SETUPs sent, as far back as the budget looks.
     pub taken: VecDeque<Ms>,
     pub further: VecDeque<Ms>,
@@ -32,6 +35,8 @@
             born: now,
             clock: now,
             told_at: now,
+            asked: 0,
+            spent: 0.0,
             taken: VecDeque::new(),
             further: VecDeque::new(),
             rungs: Vec::new(),
@@ -66,6 +71,7 @@
     /// A request was taken.
     pub fn taken(&mut self, hand: &mut Hand, id: SessId, r: Request, now: Ms) {
         self.taken.push_back(now);
+        self.asked += 1;
         hand.sess.insert(id, self.session(r, now));
     }
 
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -126,6 +126,17 @@
     f.fleet.servers[&ServerId(3)].link.unwrap().value
 }
 
+#[test_case(2, 3 => true; "few fronts")]
+#[test_case(200, 3 => false; "many fronts")]
+#[test_case(200, 1_000 => true; "many fronts, once requests have paid for it")]
+fn a_message_waits_until_requests_have_paid_for_its_receivers(fronts: u32, asked: u64) -> bool {
+    let t = walnutline::terms::Terms { fronts, message_price: 5e-5, may_message: true, ..terms() };
+    let mut f = front(t);
+    f.asked = asked;
+    f.fleet.servers.get_mut(&ServerId(0)).unwrap().first_hand = Some((0.5, NOW));
+    f.wait(&mut Hand::default(), NOW).message.is_some()
+}
+
 #[test_case(1_400.0 => 0.6; "started since")]
 #[test_case(1_600.0 => 0.5; "in it already")]
 fn what_another_front_heard_is_a_telling_older(ago: Ms) -> f64 {
