Among holders of equal cost one is taken by chance, not the one of lowest id

Cause: with a hundred fronts most holders are not heard from and count as equally average; every front sent to the lowest id among them, and the busiest server was asked for up to 19 times the mean. It harms nothing that is known: equals are equals.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -15,6 +15,8 @@
 /// Weights of streams and of link plus uplink in a holder's cost.
 const ALPHA: f64 = 0.5;
 const BETA: f64 = 0.5;
+/// Costs that differ by less than this are equal.
+const EQUAL: f64 = 1e-6;
 /// Use, with the session itself, from which a new one gets a lower rung, and the use for each rung lower.
 const START_MARK: f64 = 0.7;
 const STEP: f64 = 0.1;
@@ -259,17 +261,13 @@
         let group = self.terms.groups[s.group.0 as usize].clone();
         let give_up = self.give_up(s);
         let left = s.until - now;
-        if left <= ANSWER_MARGIN || s.setups >= self.terms.max_setups {
-            return give_up;
-        }
-        if group.seats > 0 && hand.seated(s.title, s.group) >= group.seats {
-            return give_up;
-        }
-        if s.setups > 0 && !self.budget_left(now) {
+        let seats_gone = group.seats > 0 && hand.seated(s.title, s.group) >= group.seats;
+        let setups_gone = s.setups >= self.terms.max_setups || s.setups > 0 && !self.budget_left(now);
+        if left <= ANSWER_MARGIN || seats_gone || setups_gone {
             return give_up;
         }
         let loads = hand.loads(&self.terms);
-        let able: Vec<ServerId> = self
+        let holders: Vec<ServerId> = self
             .fleet
             .servers
             .values()
@@ -277,20 +275,18 @@
             .filter(|r| self.terms.holds(r.listed.cell, s.home, s.span) && self.may_run(s, r, now))
             .map(|r| r.listed.id)
             .collect();
-        // Ordinary path: holders neither set aside nor tried by this session; then tried ones last.
-        let sound_ones = |r: &&ServerId| self.fleet.servers[r].aside_until <= now && !s.tried.contains(r);
-        let with_room: Vec<ServerId> =
-            able.iter().filter(|r| self.has_room(hand, &loads, **r, s)).copied().collect();
-        if with_room.is_empty() && !able.is_empty() {
+        let able: Vec<ServerId> =
+            holders.iter().copied().filter(|r| self.has_room(hand, &loads, *r, s)).collect();
+        if able.is_empty() && !holders.is_empty() {
             return give_up;
         }
-        let able = with_room;
-        let mut pick = self.cheapest(&loads, able.iter().filter(sound_ones), now);
-        if pick.is_none() {
-            // All holders are set aside or did not take this session: any but the last one tried.
-            let others = able.iter().filter(|r| s.tried.last() != Some(r) || able.len() == 1);
-            pick = self.cheapest(&loads, others, now);
-        }
+        // Ordinary path: holders neither set aside nor tried by this session; then tried ones last.
+        let aside = |r: &ServerId| self.fleet.servers[r].aside_until > now || s.tried.contains(r);
+        let sound_ones: Vec<ServerId> = able.iter().copied().filter(|r| !aside(r)).collect();
+        // All holders are set aside or did not take this session: any but the last one tried.
+        let last = |r: &ServerId| s.tried.last() == Some(r) && able.len() > 1;
+        let others: Vec<ServerId> = able.iter().copied().filter(|r| !last(r)).collect();
+        let pick = self.cheapest(&loads, &sound_ones, now).or_else(|| self.cheapest(&loads, &others, now));
         let Some(server) = pick else {
             let soon = able.iter().filter_map(|r| self.cold_wait(r, now)).fold(Ms::INFINITY, Ms::min);
             let in_time = now + soon < (s.came + group.start_target).min(s.until - ANSWER_MARGIN);
@@ -348,17 +344,14 @@
         (self.further.len() + 1) as f64 <= b.free + b.share * self.taken.len() as f64
     }
 
-    /// WMCA: of the holders that may take a SETUP now, the one of least cost.
-    fn cheapest<'a>(
-        &self,
-        loads: &Loads,
-        of: impl Iterator<Item = &'a ServerId>,
-        now: Ms,
-    ) -> Option<ServerId> {
-        of.filter(|r| self.cold_wait(r, now).is_none())
-            .map(|r| (self.cost(loads, *r), *r))
-            .min_by(|a, b| a.0.total_cmp(&b.0))
-            .map(|(_, r)| r)
+    /// WMCA: of the holders that may take a SETUP now, the one of least cost; among equals by chance. Where
+    /// few servers are heard from, most are equals, and all fronts would send to the same one.
+    fn cheapest(&mut self, loads: &Loads, of: &[ServerId], now: Ms) -> Option<ServerId> {
+        let able = of.iter().filter(|r| self.cold_wait(r, now).is_none());
+        let mut all: Vec<(f64, ServerId)> = able.map(|r| (self.cost(loads, *r), *r)).collect();
+        let least = all.iter().map(|(c, _)| *c).fold(f64::INFINITY, f64::min);
+        all.retain(|(c, _)| *c <= least + EQUAL);
+        (!all.is_empty()).then(|| all[self.rng.usize(..all.len())].1)
     }
 
     fn cost(&self, loads: &Loads, server: ServerId) -> f64 {
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -323,3 +323,13 @@
     let place = f.after(&mut hand([out]), ONE, ending, NOW);
     assert!(matches!(place, Place::NotYet | Place::BusyReply { .. }), "{place:?}");
 }
+
+#[test]
+fn fronts_that_hear_nothing_do_not_all_send_to_the_same_holder() {
+    let first = |seed| {
+        let mut f = front(terms());
+        f.rng = fastrand::Rng::with_seed(seed);
+        went_to(&f.place(&mut hand([sess()]), ONE, NOW))
+    };
+    assert!((1..20).any(|seed| first(seed) != first(0)));
+}
