Probes paced by own sessions, room kept for later steps, cold servers left alone, messages cut

- Turns at cold servers are gone: where the budget leaves a front less than one SETUP a span, the server is left alone until warm.
It covers any number of fronts, restarts and stalls; it harms where much of a fleet is cold at once.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -28,8 +28,10 @@
 const HOLD: Ms = 2_500.0;
 /// Shares delivered under this tell of a link or uplink that is asked too much.
 const SHORT: f64 = 0.98;
-/// Time between the probes of a server in use.
-const PROBE_PACE: Ms = 7_000.0;
+/// Time between the probes of a server, for each session that this front has there: probes are priced by
+/// the session. The first one comes sooner.
+const PROBE_PACE: Ms = 20_000.0;
+const PROBE_FIRST: Ms = 1_500.0;
 /// Part of that by which probes are spread, so that fronts do not probe in step.
 const PROBE_SPREAD: f64 = 0.2;
 /// After a step down, news older than its own delay and this is of the time before.
@@ -40,7 +42,7 @@
 const TELL_PACE: Ms = 1_000.0;
 const MESSAGE_MOST: usize = 252;
 /// What a front may spend on messages for each request that it has taken, in utility of a session.
-const MESSAGE_SPEND: f64 = 0.01;
+const MESSAGE_SPEND: f64 = 0.002;
 /// A report older than this no longer counts: its server is as one not heard from.
 const STALE: Ms = 15_000.0;
 /// Shares delivered under this are taken for this.
@@ -49,22 +51,17 @@
 const FIRST_SHARE: f64 = 0.45;
 /// A time-out under this share of the start target would cut off sound servers.
 const LEAST_TIMEOUT: f64 = 0.1;
-/// Failures in a row from which a server is set aside, for how long at first, and at most.
-const ASIDE_FROM: u32 = 1;
+/// How long a server is set aside from its first failure in a row, doubled for each further one, and at most.
 const ASIDE: Ms = 1_000.0;
 const ASIDE_MOST: Ms = 8_000.0;
 /// Share of a cold server's budget that all fronts may count on.
 const COLD_CERTAIN: f64 = 0.7;
-/// Part of the span at the head of a front's turn in which it may send to a cold server.
-const TURN_HEAD: f64 = 0.5;
-/// Part of that head which is used: what is sent at its end still arrives within it.
-const HEAD_USED: f64 = 0.9;
 /// An answer is given this long before the viewer gives up.
 const ANSWER_MARGIN: Ms = 30.0;
 /// How often the rungs are looked over.
 const LOOK: Ms = 250.0;
 /// How often a session that waits for a cold server is looked at again.
-const TURN_LOOK: Ms = 20.0;
+const COLD_LOOK: Ms = 20.0;
 
 type Loads = BTreeMap<ServerId, Load>;
 
@@ -128,9 +125,7 @@
         let Some(use_) = self.enter(own, line, use_, weight, now) else { return };
         if let Line::Link(id) = line {
             self.fleet.servers.get_mut(&id).expect("entered").first_hand = Some((use_, now));
-            if use_ < MARK {
-                self.fill(hand, id, now);
-            }
+            self.fill(hand, id, now);
         }
         if use_ > FULL && self.shed(hand, line, own / use_, now) {
             self.log.push(format!("over {line:?} use={use_:.2}"));
@@ -252,7 +247,7 @@
             }
         }
         if let (Place::NotYet, Some(s)) = (&answer, hand.sess.get_mut(&id)) {
-            s.held_until = Some(now + TURN_LOOK);
+            s.held_until = Some(now + COLD_LOOK);
         }
         answer
     }
@@ -447,24 +442,20 @@
     }
 
     /// Whether one more session at its lowest rung fits a server's link and uplink once all there stand at
-    /// theirs. Others are taken to stand as high as this front's own. Guards against a crowd in which
-    /// everyone gets too little to go on watching: there, a busy reply does less harm than one more
-    /// session. It can turn viewers away for nothing while a shortage that was heard is already over.
+    /// theirs. Others are taken to stand as high as this front's own do, wherever they play: on one line it
+    /// has a session or two, or none. Guards against a crowd in which everyone gets too little to go on
+    /// watching: there, a busy reply does less harm than one more session. It can turn viewers away for
+    /// nothing while a shortage that was heard is already over.
     fn has_room(&self, hand: &Hand, loads: &Loads, server: ServerId, new: &Sess) -> bool {
         let floor = |s: &Sess| self.terms.rate(s.group, self.terms.groups[s.group.0 as usize].floor);
+        let own = hand.sess.values().filter(|s| s.at.is_some());
+        let (least, now) =
+            own.fold((0.0, 0.0), |(a, b), s| (a + floor(s), b + self.terms.rate(s.group, s.rung)));
+        let height = if now > 0.0 { least / now } else { 1.0 };
         let r = &self.fleet.servers[&server];
-        let rack = self.terms.rack(r.listed.cell);
-        let lines = [
-            (Line::Link(server), self.link_use(loads, server), self.link_kb(r)),
-            (Line::Uplink(rack), self.uplink_use(loads, rack), self.terms.uplink_kb.max(1.0)),
-        ];
-        lines.iter().all(|(line, use_, size)| {
-            let own = hand.sess.values().filter(|s| self.on_line(s, *line));
-            let (least, now) =
-                own.fold((0.0, 0.0), |(a, b), s| (a + floor(s), b + self.terms.rate(s.group, s.rung)));
-            let lowest = if now > 0.0 { use_ * least / now } else { *use_ };
-            lowest + floor(new) / size <= FULL
-        })
+        let (rack, uplink_kb) = (self.terms.rack(r.listed.cell), self.terms.uplink_kb.max(1.0));
+        self.link_use(loads, server) * height + floor(new) / self.link_kb(r) <= FULL
+            && self.uplink_use(loads, rack) * height + floor(new) / uplink_kb <= FULL
     }
 
     fn on_line(&self, s: &Sess, line: Line) -> bool {
@@ -522,20 +513,28 @@
     /// Steps sessions on a link up a rung each while use stays under the mark at the higher rate, the most
     /// utility for its rate first. As in `shed`, each front takes its own part of the room, in the share that
     /// it has of the use, and the last rung goes by chance: fronts that hear the same news fill the room
-    /// once, however many they are. Where they carry very unequal shares the room fills more slowly.
+    /// once, however many they are. Where they carry very unequal shares the room fills more slowly. What
+    /// is left of the part stands until the next news, for sessions that still are within their hold.
     fn fill(&mut self, hand: &mut Hand, server: ServerId, now: Ms) {
-        let mut loads = hand.loads(&self.terms);
-        let own = self.own_kb(&loads, Line::Link(server));
+        let loads = hand.loads(&self.terms);
         let room = |use_: f64, own: f64, size: f64| (MARK - use_) * (own / use_ / size).min(1.0) * size;
         let rack = self.terms.rack(self.fleet.servers[&server].listed.cell);
-        let own_rack = self.own_kb(&loads, Line::Uplink(rack));
         let link = self.link_use(&loads, server).max(1e-3);
         let uplink = self.uplink_use(&loads, rack).max(1e-3);
-        let mut part = room(link, own, self.link_kb(&self.fleet.servers[&server])).min(room(
+        let own_link = self.own_kb(&loads, Line::Link(server));
+        let own_uplink = self.own_kb(&loads, Line::Uplink(rack));
+        let part = room(link, own_link, self.link_kb(&self.fleet.servers[&server])).min(room(
             uplink,
-            own_rack,
+            own_uplink,
             self.terms.uplink_kb.max(1.0),
         ));
+        self.fleet.servers.get_mut(&server).expect("heard").room_kb = part;
+        self.step_up(hand, server, now);
+    }
+
+    /// Steps sessions up a rung each while this front's part of the room lasts.
+    fn step_up(&mut self, hand: &mut Hand, server: ServerId, now: Ms) {
+        let mut loads = hand.loads(&self.terms);
         let terms = &self.terms;
         let mut up: Vec<(f64, SessId)> = Vec::new();
         for (id, s) in &hand.sess {
@@ -549,10 +548,12 @@
         for (_, id) in up {
             let s = hand.sess.get_mut(&id).expect("a session that was just listed");
             let kb = self.terms.rate(s.group, s.rung + 1) - self.terms.rate(s.group, s.rung);
-            if self.fuller_with(&loads, server, kb) >= MARK || part < kb * self.rng.f64() {
+            let part = self.fleet.servers[&server].room_kb;
+            let fits = self.fuller_with(&loads, server, kb) < MARK && part >= kb * self.rng.f64();
+            self.fleet.servers.get_mut(&server).expect("listed").room_kb = if fits { part - kb } else { 0.0 };
+            if !fits {
                 break;
             }
-            part -= kb;
             (s.was_kb, s.changed) = (self.terms.rate(s.group, s.rung), now);
             (s.rung, s.stepped) = (s.rung + 1, now);
             loads.entry(server).or_default().kb += kb;
@@ -593,7 +594,7 @@
         let Some(r) = self.fleet.servers.get_mut(&server) else { return };
         match ending {
             None => {
-                if r.fails >= ASIDE_FROM {
+                if r.fails > 0 {
                     self.log.push(format!("server back server={} fails={}", server.0, r.fails));
                 }
                 (r.fails, r.aside_until) = (0, Ms::NEG_INFINITY);
@@ -608,50 +609,38 @@
                     // Its process may be gone: it is cold when it answers again, whatever the list says.
                     (r.died, r.back) = (Some(now), None);
                 }
-                if r.fails >= ASIDE_FROM {
-                    let longer = 2f64.powi((r.fails - ASIDE_FROM).min(10) as i32);
-                    r.aside_until = now + (ASIDE * longer).min(ASIDE_MOST);
-                    let (id, n) = (server.0, r.fails);
-                    self.log.push(format!("server aside server={id} fails={n} last={how:?}"));
-                }
+                r.aside_until = now + (ASIDE * 2f64.powi(r.fails.min(10) as i32 - 1)).min(ASIDE_MOST);
+                self.log.push(format!("server aside server={} fails={} last={how:?}", server.0, r.fails));
             }
         }
     }
 
     /// How long until a SETUP may go to this server, if it may be cold; `None` if it may go now. All fronts
-    /// share the budget of a cold server: where it leaves each front one SETUP or more in a span, that is
-    /// its share; else fronts take turns by their number. Only the warmth at the start is certain. A front
-    /// that has just started has spent its share.
+    /// share the budget of a cold server: where it leaves each front one SETUP or more in a span, that is its
+    /// share; else the server is left alone until it is warm, as no front can know what the others send. Only
+    /// the warmth at the start is certain. A front that has just started has spent its share. Harms where
+    /// much of a fleet is cold at once: the rest must carry all.
     fn cold_wait(&self, server: &ServerId, now: Ms) -> Option<Ms> {
         let cold = self.terms.cold?;
         let r = &self.fleet.servers[server];
-        let told = r.listed.started.is_some_and(|t| now < t + cold.lasts);
-        let witnessed = r.died.is_some() && r.back.is_none_or(|t| now < t + cold.lasts);
-        if !told && !witnessed {
+        // What was seen to die comes back cold; without probes only the list tells when.
+        let back = r.back.or(r.died.filter(|_| !self.terms.may_probe));
+        let witnessed = r.died.map(|_| back.map_or(Ms::INFINITY, |t| t + cold.lasts));
+        let told = r.listed.started.map(|t| t + cold.lasts);
+        let warm_at = witnessed.into_iter().chain(told).fold(now, Ms::max);
+        if warm_at <= now {
             return None;
         }
         let most = self.terms.kind_streams.get(r.listed.kind.0 as usize).copied().unwrap_or(1.0);
-        let n = cold.multiple * most / cold.lasts * cold.from * cold.span * COLD_CERTAIN;
-        let fronts = self.terms.fronts.max(1) as f64;
-        let share = (n / fronts).floor();
-        let (span, share) = match n {
-            _ if share >= 1.0 => (cold.span, share),
-            n if n >= 1.0 => (cold.span, n.floor()),
-            n => (cold.span / n.max(1e-3), 1.0),
-        };
-        let recent = r.sent_cold.iter().filter(|t| **t > now - span);
-        let mut wait: Ms = (self.born + span - now).max(0.0);
+        let all = cold.multiple * most / cold.lasts * cold.from * cold.span * COLD_CERTAIN;
+        let share = (all / self.terms.fronts.max(1) as f64).floor();
+        if share < 1.0 {
+            return Some(warm_at - now);
+        }
+        let recent = r.sent_cold.iter().filter(|t| **t > now - cold.span);
+        let mut wait: Ms = (self.born + cold.span - now).max(0.0);
         if recent.clone().count() as f64 >= share {
-            wait = wait.max(recent.fold(Ms::INFINITY, |a, b| a.min(*b)) + span - now);
-        }
-        if n / fronts < 1.0 {
-            let head = span * TURN_HEAD;
-            let turn = span + head;
-            let round = turn * fronts;
-            let since = (now + wait - turn * self.terms.my_number as f64).rem_euclid(round);
-            if since > head * HEAD_USED {
-                wait += round - since;
-            }
+            wait = wait.max(recent.fold(Ms::INFINITY, |a, b| a.min(*b)) + cold.span - now);
         }
         (wait > 0.0).then_some(wait)
     }
@@ -660,6 +649,10 @@
 
     pub fn wait(&mut self, hand: &mut Hand, now: Ms) -> Due {
         self.clock = now;
+        let roomy = self.fleet.servers.values().filter(|s| s.room_kb > 0.0).map(|s| s.listed.id);
+        for id in roomy.collect::<Vec<_>>() {
+            self.step_up(hand, id, now);
+        }
         let mut due = Due { again_at: now + LOOK, message: self.message(now), ..Due::default() };
         for (id, s) in &mut hand.sess {
             match s.held_until {
@@ -682,9 +675,11 @@
         }
         if self.terms.may_probe && self.terms.probe_fed {
             let loads = hand.loads(&self.terms);
-            for s in self.fleet.servers.values_mut().filter(|s| loads.contains_key(&s.listed.id)) {
-                let next = now + PROBE_PACE * (1.0 + PROBE_SPREAD * (self.rng.f64() - 0.5));
-                let first = now + PROBE_PACE * self.rng.f64();
+            for s in self.fleet.servers.values_mut() {
+                let Some(own) = loads.get(&s.listed.id) else { continue };
+                let pace = PROBE_PACE / own.streams;
+                let next = now + pace * (1.0 + PROBE_SPREAD * (self.rng.f64() - 0.5));
+                let first = now + PROBE_FIRST * self.rng.f64();
                 let listed = s.listed.listing != Listing::Gone && s.fails == 0;
                 if listed && *s.probe_at.get_or_insert(first) <= now {
                     s.probe_at = Some(next);
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -56,6 +56,8 @@
     pub sent_cold: Vec<Ms>,
     /// When the next probe is due, once that is settled.
     pub probe_at: Option<Ms>,
+    /// This front's part of the room that was heard of, as far as it is not yet used.
+    pub room_kb: f64,
     /// Sessions there were stepped down; what is heard before this tells of the time before.
     pub settled_at: Ms,
 }
@@ -73,6 +75,7 @@
             back: None,
             sent_cold: Vec::new(),
             probe_at: None,
+            room_kb: 0.0,
             settled_at: Ms::NEG_INFINITY,
         }
     }
