Only what was heard turns a request away; uplinks not heard from count as average

Also covers a front that comes back and knows nothing. It can harm in a crowd that fills servers faster than news comes: their own busy replies then are the news.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,7 +4,7 @@
 //! bears on a decision, else in `front`. The caller keeps the timers and the sessions in hand and decides
 //! nothing. The answers stand in `interface`, the state in `front`, `hand`, `fleet` and `terms`.
 //! docs/design.md tells what comes from the design page, what was added, and when each addition acts.
-use crate::fleet::{Line, Listed, Listing, Seen, Server};
+use crate::fleet::{Line, Listed, Listing, Rack, Seen, Server};
 use crate::front::Front;
 use crate::hand::{Hand, Load, Sess};
 use crate::ids::{Ms, RackNo, ServerId, SessId};
@@ -422,9 +422,16 @@
     /// Use of a rack's uplink: what was heard, else the sum of its links' loads over its told size.
     fn uplink_use(&self, loads: &Loads, rack: RackNo) -> f64 {
         let told = self.terms.uplink_kb.max(1.0);
-        if let Some(seen) = self.fleet.racks.get(&rack).and_then(|r| r.uplink) {
+        // A rack that was heard full and left alone is not heard of again: like a link's, its news ages.
+        let heard = self.fleet.racks.get(&rack).and_then(|r| r.uplink);
+        if let Some(seen) = heard.filter(|seen| self.clock - seen.at < STALE) {
             return moved_on(seen, self.own_kb(loads, Line::Uplink(rack)), told);
         }
+        // Where uplinks are heard of, one not heard from counts as average too.
+        let fresh = |r: &Rack| r.uplink.filter(|seen| self.clock - seen.at < STALE).map(|s| s.value);
+        if let Some(average) = mean(self.fleet.racks.values().filter_map(fresh)) {
+            return average;
+        }
         let here = self
             .fleet
             .servers
@@ -445,7 +452,7 @@
     /// theirs. Others are taken to stand as high as this front's own do, wherever they play: on one line it
     /// has a session or two, or none. Guards against a crowd in which everyone gets too little to go on
     /// watching: there, a busy reply does less harm than one more session. It can turn viewers away for
-    /// nothing while a shortage that was heard is already over.
+    /// nothing while a shortage that was heard is already over; a guess at what was not heard turns nobody away.
     fn has_room(&self, hand: &Hand, loads: &Loads, server: ServerId, new: &Sess) -> bool {
         let floor = |s: &Sess| self.terms.rate(s.group, self.terms.groups[s.group.0 as usize].floor);
         let own = hand.sess.values().filter(|s| s.at.is_some());
@@ -454,8 +461,12 @@
         let height = if now > 0.0 { least / now } else { 1.0 };
         let r = &self.fleet.servers[&server];
         let (rack, uplink_kb) = (self.terms.rack(r.listed.cell), self.terms.uplink_kb.max(1.0));
-        self.link_use(loads, server) * height + floor(new) / self.link_kb(r) <= FULL
-            && self.uplink_use(loads, rack) * height + floor(new) / uplink_kb <= FULL
+        let fresh = |seen: Option<Seen>| seen.is_some_and(|seen| self.clock - seen.at < STALE);
+        let full = |use_: f64, kb: f64| use_ * height + floor(new) / kb > FULL;
+        let link_full = fresh(r.link) && full(self.link_use(loads, server), self.link_kb(r));
+        let uplink = self.fleet.racks.get(&rack).and_then(|r| r.uplink);
+        let uplink_full = fresh(uplink) && full(self.uplink_use(loads, rack), uplink_kb);
+        !link_full && !uplink_full
     }
 
     fn on_line(&self, s: &Sess, line: Line) -> bool {
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -362,3 +362,24 @@
     let mut h = hand([Sess { span: 1, ..sess() }, playing(3, rung, 0.0)]);
     went_to(&f.place(&mut h, ONE, NOW)).is_some()
 }
+
+#[test_case(1.0, 900.0 => true; "news of the uplink: full")]
+#[test_case(1.0, 30_000.0 => false; "news that has aged")]
+#[test_case(0.2, 900.0 => false; "news of room")]
+fn only_what_was_heard_turns_a_request_away(uplink: f64, ago: Ms) -> bool {
+    let mut f = front(terms());
+    f.fleet.servers.values_mut().for_each(|s| s.link = None);
+    let rack = f.fleet.racks.entry(RackNo(0)).or_default();
+    rack.uplink = Some(Seen { value: uplink, at: NOW - ago, own: 0.0 });
+    let mut h = hand([Sess { span: 1, ..sess() }, playing(1, 0, 0.0)]);
+    f.place(&mut h, ONE, NOW) == Place::BusyReply { come_back: Some(500.0) }
+}
+
+#[test]
+fn an_uplink_not_heard_from_counts_as_the_average_of_uplinks() {
+    let mut f = front(terms());
+    f.fleet.servers.values_mut().for_each(|s| s.link.as_mut().unwrap().value = 0.1);
+    f.fleet.racks.entry(RackNo(0)).or_default().uplink = Some(Seen { value: 0.95, at: NOW, own: 0.0 });
+    let place = f.place(&mut hand([Sess { home: CellNo(1), span: 1, ..sess() }]), ONE, NOW);
+    assert!(matches!(place, Place::Setup { rung: 0, .. }), "{place:?}");
+}
