A holder with old news is probed before a session goes there

Cause: with a hundred fronts nearly all load is others'. A new session went where the table was guessing, at a rung from the average, and the server was probed only after it played. Now the holder of least cost is asked first where its news is older than 3 s, up to three holders a session; the answer enters the table and WMCA chooses again. A lost answer holds the session for 200 ms at most, and nothing is asked once 0.4 of the start target is gone. As many probes as before, each at the moment of the decision. Covers any state in which a front knows little: restarts, stalls, cold replacements. It can harm where probes are slow or dear and servers are well known anyway.

--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -144,8 +144,8 @@
                 let load = values(r)?;
                 let ending = ending(how)?;
                 if let Some(i) = known {
-                    i.front.probed(server, ending, now);
                     i.front.report(&mut i.hand, server, &load, now);
+                    i.front.probed(&mut i.hand, server, ending, now);
                 }
             }
             9 => {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -93,3 +93,16 @@
     pub servers: BTreeMap<ServerId, Server>,
     pub racks: BTreeMap<RackNo, Rack>,
 }
+
+impl Fleet {
+    /// What was last heard of a line, and until when news of it is left out; `None` for an unknown server.
+    pub fn line(&mut self, line: Line) -> Option<(&mut Option<Seen>, &mut Ms)> {
+        match line {
+            Line::Link(id) => self.servers.get_mut(&id).map(|s| (&mut s.link, &mut s.settled_at)),
+            Line::Uplink(no) => {
+                let rack = self.racks.entry(no).or_default();
+                Some((&mut rack.uplink, &mut rack.settled_at))
+            }
+        }
+    }
+}
--- a/src/front.rs
+++ b/src/front.rs
@@ -23,6 +23,9 @@
     pub further: VecDeque<Ms>,
     /// Changes of rung and log lines that are still to be handed out.
     pub rungs: Vec<(SessId, u8)>,
+    /// Probes to send, and the one that the session in hand waits for.
+    pub probes: Vec<ServerId>,
+    pub asking: Option<ServerId>,
     pub log: Vec<String>,
 }
 
@@ -40,6 +43,8 @@
             taken: VecDeque::new(),
             further: VecDeque::new(),
             rungs: Vec::new(),
+            probes: Vec::new(),
+            asking: None,
             log: Vec::new(),
         }
     }
@@ -97,6 +102,7 @@
             answered: false,
             setups: 0,
             tried: Vec::new(),
+            asked: Vec::new(),
             sent: now,
             stepped: Ms::NEG_INFINITY,
             was_kb: 0.0,
--- a/src/hand.rs
+++ b/src/hand.rs
@@ -24,6 +24,8 @@
     pub setups: u16,
     /// Servers that did not take it.
     pub tried: Vec<ServerId>,
+    /// Servers that were probed for it.
+    pub asked: Vec<ServerId>,
     pub sent: Ms,
     /// Last change of rung while playing, or the start.
     pub stepped: Ms,
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -81,6 +81,7 @@
         answered: false,
         setups: 0,
         tried: Vec::new(),
+        asked: Vec::new(),
         sent: NOW,
         stepped: Ms::NEG_INFINITY,
         was_kb: 0.0,
