A busy reply counts as all streams in use; a crowd is taken to come to all fronts

A busy reply now stands for 1 s as M = 1, whatever the cause: link, streams or queue. What this front added within the delay of news, others are taken to have added alike. It also covers steps up on the same news; it can harm where one front alone has a crowd, which then counts for all.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -60,6 +60,8 @@
 const ASK_WAIT: Ms = 200.0;
 const ASK_MOST: usize = 3;
 const ASK_TARGET: f64 = 0.6;
+/// How long a busy reply counts as all streams of the server in use.
+const BUSY: Ms = 1_000.0;
 /// An answer is given this long before the viewer gives up.
 const ANSWER_MARGIN: Ms = 30.0;
 /// How often the rungs are looked over.
@@ -222,6 +224,7 @@
             return Place::Nothing;
         }
         let s = s.clone();
+        self.mark_surge(hand, now);
         let answer = self.choose(hand, &s, now);
         let s = hand.sess.get_mut(&id).expect("the session that was just read");
         match &answer {
@@ -244,9 +247,7 @@
                 self.probes.extend(asking);
             }
             Place::Nothing => {}
-            Place::BusyReply { .. } | Place::TornDown => {
-                hand.sess.remove(&id);
-            }
+            Place::BusyReply { .. } | Place::TornDown => drop(hand.sess.remove(&id)),
         }
         answer
     }
@@ -261,19 +262,12 @@
             return give_up;
         }
         let loads = hand.loads(&self.terms);
-        let holders: Vec<ServerId> = self
-            .fleet
-            .servers
-            .values()
-            .filter(|r| r.listed.listing == Listing::Ready)
+        let ready = self.fleet.servers.values().filter(|r| r.listed.listing == Listing::Ready);
+        let able: Vec<ServerId> = ready
             .filter(|r| self.terms.holds(r.listed.cell, s.home, s.span) && self.may_run(s, r, now))
             .map(|r| r.listed.id)
+            .filter(|r| self.has_room(hand, &loads, *r, s))
             .collect();
-        let able: Vec<ServerId> =
-            holders.iter().copied().filter(|r| self.has_room(hand, &loads, *r, s)).collect();
-        if able.is_empty() && !holders.is_empty() {
-            return give_up;
-        }
         // Ordinary path: holders neither set aside nor tried by this session; then tried ones last.
         let aside = |r: &ServerId| self.fleet.servers[r].aside_until > now || s.tried.contains(r);
         let sound_ones: Vec<ServerId> = able.iter().copied().filter(|r| !aside(r)).collect();
@@ -305,11 +299,8 @@
 
     /// The answer to a session that this front cannot place; at once, so that its viewer may look elsewhere.
     fn give_up(&self, s: &Sess) -> Place {
-        let busy_ok = match self.terms.groups[s.group.0 as usize].repeat {
-            Repeat::Safe | Repeat::Keyed(Scope::All) => true,
-            Repeat::Once | Repeat::Keyed(_) => s.may_have_run.is_none(),
-        };
-        if !busy_ok {
+        let repeat = self.terms.groups[s.group.0 as usize].repeat;
+        if s.may_have_run.is_some() && !matches!(repeat, Repeat::Safe | Repeat::Keyed(Scope::All)) {
             return Place::TornDown;
         }
         Place::BusyReply { come_back: self.terms.tells_return.then_some(self.terms.max_return) }
@@ -359,7 +350,7 @@
         let r = &self.fleet.servers[&server];
         let most = self.terms.kind_streams.get(r.listed.kind.0 as usize).copied().unwrap_or(1.0);
         let uplink = self.uplink_use(loads, self.terms.rack(r.listed.cell));
-        ALPHA * self.streams(loads, server) / most + BETA * (self.link_use(loads, server) + uplink)
+        ALPHA * self.streams(loads, server, most) / most + BETA * (self.link_use(loads, server) + uplink)
     }
 
     // ---- the table ----
@@ -394,8 +385,11 @@
 
     /// Streams at a server: the last report, moved on by this front's own changes since. One not yet heard
     /// from counts as average: its own streams, and of others as many as elsewhere.
-    fn streams(&self, loads: &Loads, server: ServerId) -> f64 {
+    fn streams(&self, loads: &Loads, server: ServerId, most: f64) -> f64 {
         let own = |id: &ServerId| loads.get(id).map_or(0.0, |l| l.streams);
+        if self.fleet.servers[&server].busy_until > self.clock {
+            return most;
+        }
         if let Some(seen) = self.fleet.servers[&server].streams {
             return (seen.value + own(&server) - seen.own).max(own(&server));
         }
@@ -409,7 +403,7 @@
         let own = loads.get(&server).map_or(0.0, |l| l.kb);
         let size = self.kb(Line::Link(server));
         if let Some(seen) = self.fresh(self.fleet.servers[&server].link) {
-            return moved_on(seen, own, size);
+            return moved_on(seen, own, size) + self.surge_kb / size;
         }
         let others = |s: &Server| {
             let seen = self.fresh(s.link)?;
@@ -429,9 +423,20 @@
         if started.zip(self.terms.cold).is_some_and(|(t, cold)| self.clock < t + cold.lasts) {
             return 0.0;
         }
+        average.unwrap_or(self.alike(own_total))
+    }
+
+    /// Others are taken to have added to each server lately, unseen as yet, what this front has added to all,
+    /// by their number: a crowd comes to all fronts, and all follow the same news.
+    fn mark_surge(&mut self, hand: &Hand, now: Ms) {
+        let grown = hand.grown_since(&self.terms, |_| true, now - self.terms.share_delay);
+        self.surge_kb = self.alike(grown.max(0.0));
+    }
+
+    /// What the others put on each server if they do as this front does, with this much in all.
+    fn alike(&self, own_total: f64) -> f64 {
         let ready = self.fleet.servers.values().filter(|s| s.listed.listing == Listing::Ready).count();
-        let fronts = self.terms.fronts.saturating_sub(1) as f64;
-        average.unwrap_or(own_total * fronts / ready.max(1) as f64)
+        own_total * self.terms.fronts.saturating_sub(1) as f64 / ready.max(1) as f64
     }
 
     /// Use of a rack's uplink: what was heard, else the sum of its links' loads over its told size.
@@ -471,12 +476,12 @@
         let r = &self.fleet.servers[&server];
         let rack = self.terms.rack(r.listed.cell);
         let uplink = self.fleet.racks.get(&rack).and_then(|r| r.uplink);
-        let full = |use_: f64, line| use_ * height + floor(new) / self.kb(line) > FULL;
-        let link_full =
-            self.fresh(r.link).is_some() && full(self.link_use(loads, server), Line::Link(server));
-        let uplink_full =
-            self.fresh(uplink).is_some() && full(self.uplink_use(loads, rack), Line::Uplink(rack));
-        !link_full && !uplink_full
+        let full = |line, seen, use_: f64| {
+            self.fresh(seen).is_some() && use_ * height + floor(new) / self.kb(line) > FULL
+        };
+        r.busy_until <= self.clock
+            && !full(Line::Link(server), r.link, self.link_use(loads, server))
+            && !full(Line::Uplink(rack), uplink, self.uplink_use(loads, rack))
     }
 
     fn on_line(&self, s: &Sess, line: Line) -> bool {
@@ -536,6 +541,7 @@
     /// once, however many they are. Where they carry very unequal shares the room fills more slowly. What
     /// is left of the part stands until the next news, for sessions that still are within their hold.
     fn fill(&mut self, hand: &mut Hand, server: ServerId, now: Ms) {
+        self.mark_surge(hand, now);
         let loads = hand.loads(&self.terms);
         let room =
             |use_: f64, line| (MARK - use_) * (self.own_kb(&loads, line) / use_.max(1e-3)).min(self.kb(line));
@@ -594,11 +600,7 @@
         s.tried.push(server);
         self.judge(server, Some(ending), now);
         if ending == Ending::BusyReplied {
-            // A busy reply tells that the link is asked for at least as much as the terms say.
-            let loads = hand.loads(&self.terms);
-            if let Some(from) = self.terms.busy_from.filter(|f| self.link_use(&loads, server) < *f) {
-                self.heard(hand, Line::Link(server), from, 1.0, now);
-            }
+            self.fleet.servers.get_mut(&server).expect("sent there").busy_until = now + BUSY;
         }
         self.place(hand, id, now)
     }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -49,6 +49,8 @@
     /// Failures in a row, and until when it is set aside for them.
     pub fails: u32,
     pub aside_until: Ms,
+    /// Until when a busy reply of it counts.
+    pub busy_until: Ms,
     /// When its death was witnessed, and when it answered after that.
     pub died: Option<Ms>,
     pub back: Option<Ms>,
@@ -71,6 +73,7 @@
             streams: None,
             fails: 0,
             aside_until: Ms::NEG_INFINITY,
+            busy_until: Ms::NEG_INFINITY,
             died: None,
             back: None,
             sent_cold: Vec::new(),
--- a/src/front.rs
+++ b/src/front.rs
@@ -22,6 +22,8 @@
     pub taken: VecDeque<Ms>,
     pub further: VecDeque<Ms>,
     /// Changes of rung and log lines that are still to be handed out.
+    /// What the other fronts are taken to have added to each server lately.
+    pub surge_kb: f64,
     pub rungs: Vec<(SessId, u8)>,
     /// Probes to send, and the one that the session in hand waits for.
     pub probes: Vec<ServerId>,
@@ -42,6 +44,7 @@
             spent: 0.0,
             taken: VecDeque::new(),
             further: VecDeque::new(),
+            surge_kb: 0.0,
             rungs: Vec::new(),
             probes: Vec::new(),
             asking: None,
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -70,8 +70,6 @@
     pub kind_streams: Vec<f64>,
     pub link_kb_per_weight: f64,
     pub uplink_kb: f64,
-    /// Share of its link from which a server gives busy replies.
-    pub busy_from: Option<f64>,
     /// How late a delivered share is heard.
     pub share_delay: Ms,
     pub columns: Vec<Column>,
@@ -176,7 +174,6 @@
             kind_streams: told.list("family_info.kind_streams")?,
             link_kb_per_weight: told.need("family_info.link_unit_kb")?,
             uplink_kb: told.need("family_info.uplink_kb")?,
-            busy_from: told.opt("family_info.refuses_from")?.filter(|x: &f64| *x > 0.0),
             share_delay: told.opt("family_info.see")?.unwrap_or(0.0),
             columns: columns.split(',').filter(|c| !c.is_empty()).map(column).collect(),
             probe_fed: told.text("reporting.via") == Some("pull"),
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -409,3 +409,27 @@
     }
     f.wait(&mut h, NOW + later).place == [ONE]
 }
+
+#[test_case(500.0 => Some(1); "just now")]
+#[test_case(1_500.0 => Some(0); "a while ago")]
+fn a_busy_reply_counts_for_a_while(ago: Ms) -> Option<u32> {
+    let mut f = front(terms());
+    f.fleet.servers.get_mut(&ServerId(0)).unwrap().link.as_mut().unwrap().value = 0.1;
+    let out = Sess { at: Some(ServerId(0)), setups: 1, span: 2, ..sess() };
+    f.after(&mut hand([out]), ONE, Ending::BusyReplied, NOW - ago);
+    f.fleet.servers.values_mut().for_each(|s| s.link.as_mut().unwrap().at = NOW);
+    went_to(&f.place(&mut hand([Sess { span: 2, ..sess() }]), ONE, NOW))
+}
+
+#[test_case(0 => 2; "calm")]
+#[test_case(3 => 0; "three came to this front within the delay of news")]
+fn a_crowd_is_taken_to_come_to_all_fronts(came: u32) -> u8 {
+    let mut f = front(walnutline::terms::Terms { fronts: 4, ..terms() });
+    f.fleet.servers.values_mut().for_each(|s| s.link.as_mut().unwrap().value = 0.3);
+    let lately = |_| Sess { changed: NOW - 100.0, ..playing(3, 2, NOW) };
+    let mut h = hand([Sess { span: 1, ..sess() }].into_iter().chain((0..came).map(lately)));
+    match f.place(&mut h, ONE, NOW) {
+        Place::Setup { rung, .. } => rung,
+        other => panic!("{other:?}"),
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -28,7 +28,6 @@
         kind_streams: vec![20.0],
         link_kb_per_weight: 2_000.0,
         uplink_kb: 4_000.0,
-        busy_from: None,
         share_delay: 500.0,
         columns: vec![Column::Streams, Column::Link],
         probe_fed: true,
