--- a/src/choice.rs
+++ b/src/choice.rs
@@ -5,7 +5,7 @@
 //! nothing. The answers stand in `interface`, the state in `front`, `hand`, `fleet` and `terms`.
 //! docs/design.md tells what comes from the design page, what was added, and when each addition acts.
 use crate::fleet::{Line, Listed, Listing, Seen, Server};
-use crate::front::Front;
+use crate::front::{Front, Stock};
 use crate::hand::{Hand, Load, Sess};
 use crate::ids::{Ms, RackNo, ServerId, SessId};
 use crate::interface::{Due, Ending, Place};
@@ -224,7 +224,7 @@
             return Place::Nothing;
         }
         let s = s.clone();
-        self.mark_surge(hand, now);
+        self.take_stock(hand, &hand.loads(&self.terms), now);
         let answer = self.choose(hand, &s, now);
         let s = hand.sess.get_mut(&id).expect("the session that was just read");
         match &answer {
@@ -386,57 +386,54 @@
     /// Streams at a server: the last report, moved on by this front's own changes since. One not yet heard
     /// from counts as average: its own streams, and of others as many as elsewhere.
     fn streams(&self, loads: &Loads, server: ServerId, most: f64) -> f64 {
-        let own = |id: &ServerId| loads.get(id).map_or(0.0, |l| l.streams);
-        if self.fleet.servers[&server].busy_until > self.clock {
-            return most;
+        let own = loads.get(&server).map_or(0.0, |l| l.streams);
+        let s = &self.fleet.servers[&server];
+        match s.streams {
+            _ if s.busy_until > self.clock => most,
+            Some(seen) => (seen.value + own - seen.own).max(own),
+            None => own + self.unheard(server, self.stock.streams),
         }
-        if let Some(seen) = self.fleet.servers[&server].streams {
-            return (seen.value + own(&server) - seen.own).max(own(&server));
-        }
-        let heard = self.fleet.servers.values().filter_map(|s| s.streams.map(|seen| seen.value - seen.own));
-        let total: f64 = loads.values().map(|l| l.streams).sum();
-        own(&server) + self.unheard(server, mean(heard), total)
     }
 
     /// Use of a server's link, likewise.
     fn link_use(&self, loads: &Loads, server: ServerId) -> f64 {
         let own = loads.get(&server).map_or(0.0, |l| l.kb);
         let size = self.kb(Line::Link(server));
-        if let Some(seen) = self.fresh(self.fleet.servers[&server].link) {
-            return moved_on(seen, own, size) + self.surge_kb / size;
+        match self.fresh(self.fleet.servers[&server].link) {
+            Some(seen) => moved_on(seen, own, size) + self.stock.surge_kb / size,
+            None => own / size + self.unheard(server, self.stock.link.unwrap_or(self.stock.kb / size)),
         }
-        let others = |s: &Server| {
-            let seen = self.fresh(s.link)?;
-            Some((seen.value - seen.own / self.kb(Line::Link(s.listed.id))).max(0.0))
-        };
-        let heard = self.fleet.servers.values().filter_map(others);
-        let total: f64 = loads.values().map(|l| l.kb).sum();
-        own / size + self.unheard(server, mean(heard), total / size)
     }
 
-    /// What the other fronts carry on a server not heard from: the average of the others, or, while nothing
-    /// is heard, as much as this front carries itself. A server that the list tells to be in its warm-up
-    /// carries only what is sent to it: a building that comes back would look as full as those that took its
-    /// load. It can fill up unseen where all fronts send there before any report.
-    fn unheard(&self, server: ServerId, average: Option<f64>, own_total: f64) -> f64 {
+    /// What the other fronts carry on a server not heard from: the average. A server that the list tells to
+    /// be in its warm-up carries only what is sent to it: a building that comes back would look as full as
+    /// those that took its load. It can fill up unseen where all fronts send there before any report.
+    fn unheard(&self, server: ServerId, average: f64) -> f64 {
         let started = self.fleet.servers[&server].listed.started;
-        if started.zip(self.terms.cold).is_some_and(|(t, cold)| self.clock < t + cold.lasts) {
-            return 0.0;
+        let cold = started.zip(self.terms.cold).is_some_and(|(t, cold)| self.clock < t + cold.lasts);
+        if cold {
+            0.0
+        } else {
+            average
         }
-        average.unwrap_or(self.alike(own_total))
     }
 
-    /// Others are taken to have added to each server lately, unseen as yet, what this front has added to all,
-    /// by their number: a crowd comes to all fronts, and all follow the same news.
-    fn mark_surge(&mut self, hand: &Hand, now: Ms) {
-        let grown = hand.grown_since(&self.terms, |_| true, now - self.terms.share_delay);
-        self.surge_kb = self.alike(grown.max(0.0));
-    }
-
-    /// What the others put on each server if they do as this front does, with this much in all.
-    fn alike(&self, own_total: f64) -> f64 {
+    /// What others carry on a server on average: as on those heard from or, while nothing is heard, what they
+    /// carry if they do as this front does. They are also taken to have added to each server, unseen as yet,
+    /// what this front has added to all of late: a crowd comes to all fronts, and all follow the same news.
+    fn take_stock(&mut self, hand: &Hand, loads: &Loads, now: Ms) {
         let ready = self.fleet.servers.values().filter(|s| s.listed.listing == Listing::Ready).count();
-        own_total * self.terms.fronts.saturating_sub(1) as f64 / ready.max(1) as f64
+        let alike = self.terms.fronts.saturating_sub(1) as f64 / ready.max(1) as f64;
+        let total = |of: fn(&Load) -> f64| loads.values().map(of).sum::<f64>() * alike;
+        let (streams, kb) = (total(|l| l.streams), total(|l| l.kb));
+        let grown = hand.grown_since(&self.terms, |_| true, now - self.terms.share_delay);
+        let heard = self.fleet.servers.values().filter_map(|s| s.streams.map(|seen| seen.value - seen.own));
+        let streams = mean(heard).unwrap_or(streams);
+        let link = mean(self.fleet.servers.values().filter_map(|s| {
+            let seen = self.fresh(s.link)?;
+            Some((seen.value - seen.own / self.kb(Line::Link(s.listed.id))).max(0.0))
+        }));
+        self.stock = Stock { streams, kb, link, surge_kb: grown.max(0.0) * alike };
     }
 
     /// Use of a rack's uplink: what was heard, else the sum of its links' loads over its told size.
@@ -450,7 +447,7 @@
         let heard = self.fleet.racks.values().filter_map(|r| self.fresh(r.uplink));
         mean(heard.map(|seen| seen.value)).unwrap_or_else(|| {
             let servers = self.fleet.servers.values().filter(|s| s.listed.listing != Listing::Gone);
-            let here = servers.map(|s| s.listed.id).filter(|id| self.rack_of(*id) == Some(rack));
+            let here = servers.filter(|s| self.terms.rack(s.listed.cell) == rack).map(|s| s.listed.id);
             here.map(|id| self.link_use(loads, id) * self.kb(Line::Link(id))).sum::<f64>() / self.kb(line)
         })
     }
@@ -476,12 +473,10 @@
         let r = &self.fleet.servers[&server];
         let rack = self.terms.rack(r.listed.cell);
         let uplink = self.fleet.racks.get(&rack).and_then(|r| r.uplink);
-        let full = |line, seen, use_: f64| {
-            self.fresh(seen).is_some() && use_ * height + floor(new) / self.kb(line) > FULL
-        };
+        let full = |line, use_: f64| use_ * height + floor(new) / self.kb(line) > FULL;
         r.busy_until <= self.clock
-            && !full(Line::Link(server), r.link, self.link_use(loads, server))
-            && !full(Line::Uplink(rack), uplink, self.uplink_use(loads, rack))
+            && !(self.fresh(r.link).is_some() && full(Line::Link(server), self.link_use(loads, server)))
+            && !(self.fresh(uplink).is_some() && full(Line::Uplink(rack), self.uplink_use(loads, rack)))
     }
 
     fn on_line(&self, s: &Sess, line: Line) -> bool {
@@ -541,8 +536,8 @@
     /// once, however many they are. Where they carry very unequal shares the room fills more slowly. What
     /// is left of the part stands until the next news, for sessions that still are within their hold.
     fn fill(&mut self, hand: &mut Hand, server: ServerId, now: Ms) {
-        self.mark_surge(hand, now);
         let loads = hand.loads(&self.terms);
+        self.take_stock(hand, &loads, now);
         let room =
             |use_: f64, line| (MARK - use_) * (self.own_kb(&loads, line) / use_.max(1e-3)).min(self.kb(line));
         let rack = self.terms.rack(self.fleet.servers[&server].listed.cell);
--- a/src/front.rs
+++ b/src/front.rs
@@ -6,6 +6,18 @@
 use crate::terms::Terms;
 use std::collections::VecDeque;
 
+/// What the other fronts are taken to carry on a server on average, as of the last time it was reckoned.
+#[derive(Debug, Default)]
+pub struct Stock {
+    pub streams: f64,
+    /// Their load by what this front carries itself, in kB a second.
+    pub kb: f64,
+    /// Their use of a link by what was heard.
+    pub link: Option<f64>,
+    /// What they have added lately, unseen as yet.
+    pub surge_kb: f64,
+}
+
 pub struct Front {
     pub terms: Terms,
     pub fleet: Fleet,
@@ -22,8 +34,7 @@
     pub taken: VecDeque<Ms>,
     pub further: VecDeque<Ms>,
     /// Changes of rung and log lines that are still to be handed out.
-    /// What the other fronts are taken to have added to each server lately.
-    pub surge_kb: f64,
+    pub stock: Stock,
     pub rungs: Vec<(SessId, u8)>,
     /// Probes to send, and the one that the session in hand waits for.
     pub probes: Vec<ServerId>,
@@ -44,7 +55,7 @@
             spent: 0.0,
             taken: VecDeque::new(),
             further: VecDeque::new(),
-            surge_kb: 0.0,
+            stock: Stock::default(),
             rungs: Vec::new(),
             probes: Vec::new(),
             asking: None,
