Messages between fronts are gone; each front sheds by what it can give

Its part is now by what its sessions can give, others taken to stand as high as its own. It can harm where a front's own sessions are not like the others'.

--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -150,10 +150,7 @@
             }
             9 => {
                 let (_from, n) = (r.u32()?, r.u16()? as usize);
-                let bytes = r.take(n)?;
-                if let Some(i) = known {
-                    i.front.peer_heard(&i.hand, bytes, now);
-                }
+                r.take(n)?;
             }
             10 => {
                 self.instances.remove(&who);
@@ -218,10 +215,6 @@
         for server in due.probes {
             reply.record(7, who).put(&server.0.to_le_bytes());
         }
-        if let Some(bytes) = due.message {
-            let to_all = u16::MAX.to_le_bytes();
-            reply.record(9, who).put(&to_all).put(&(bytes.len() as u16).to_le_bytes()).put(&bytes);
-        }
         for id in due.place {
             let place = self.front.place(&mut self.hand, id, now);
             answer(reply, who, id, place);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -36,11 +36,6 @@
 const SETTLE: Ms = 1_000.0;
 /// Weight of a report against what the table expected: reports are noisy.
 const MERGE: f64 = 0.5;
-/// How often the other fronts are told what was heard of links, and how long a message is at most.
-const TELL_PACE: Ms = 1_000.0;
-const MESSAGE_MOST: usize = 252;
-/// What a front may spend on messages for each request that it has taken, in utility of a session.
-const MESSAGE_SPEND: f64 = 0.002;
 /// A report older than this no longer counts: its server is as one not heard from.
 const STALE: Ms = 15_000.0;
 /// Shares delivered under this are taken for this.
@@ -53,7 +48,7 @@
 const ASIDE: Ms = 1_000.0;
 const ASIDE_MOST: Ms = 8_000.0;
 /// Share of a cold server's budget that all fronts may count on.
-const COLD_CERTAIN: f64 = 0.7;
+const COLD_CERTAIN: f64 = 0.9;
 /// A holder whose news is older than this is asked by a probe before a session goes there, for so long, at so
 /// many holders at most, and while this share of the start target is left.
 const ASK_AFTER: Ms = 3_000.0;
@@ -124,38 +119,35 @@
         }
     }
 
-    /// What this front heard itself of a line. Above 1.0 the newest sessions there are stepped down until its
-    /// own load fits: every front sheds its own part of what is too much.
-    fn heard(&mut self, hand: &mut Hand, line: Line, use_: f64, weight: f64, now: Ms) {
+    /// News of a line enters the table, merged by its weight with what the table expected. Above 1.0 the
+    /// newest sessions there are stepped down until this front's own load fits: every front sheds its own
+    /// part of what is too much. Just after that, what is told is still of the time before and stays out.
+    fn heard(&mut self, hand: &mut Hand, line: Line, told: f64, weight: f64, now: Ms) {
         let own = self.own_kb(&hand.loads(&self.terms), line);
-        let Some(use_) = self.enter(own, line, use_, weight, now) else { return };
+        let size = self.kb(line);
+        let Some((seen, settled_at)) = self.fleet.line(line) else { return };
+        if !sound(told) || now < *settled_at {
+            return;
+        }
+        let use_ = match *seen {
+            Some(old) if now - old.at < STALE => weight * told + (1.0 - weight) * moved_on(old, own, size),
+            _ => told,
+        };
+        *seen = Some(Seen { value: use_, at: now, own });
         if let Line::Link(id) = line {
-            self.fleet.servers.get_mut(&id).expect("entered").first_hand = Some((use_, now));
             self.fill(hand, id, now);
         }
-        if use_ > FULL && self.shed(hand, line, own / use_, now) {
+        // Its part is by what it can give: sessions at their lowest rungs, here or elsewhere, give nothing.
+        let can_give = 1.0 - self.lowest(hand, |s| self.on_line(s, line));
+        let all_can = (1.0 - self.lowest(hand, |s| s.at.is_some())).max(1e-3);
+        let fits = own * (1.0 - (1.0 - FULL / use_) * can_give / all_can);
+        if use_ > FULL && self.shed(hand, line, fits, now) {
             self.log.push(format!("over {line:?} use={use_:.2}"));
             let until = now + self.terms.share_delay + SETTLE;
             self.fleet.line(line).into_iter().for_each(|(_, settled_at)| *settled_at = until);
         }
     }
 
-    /// Enters a use in the table, merged by its weight with what the table expected; gives the use now held.
-    /// Just after a step down, what is told is still of the time before and stays out.
-    fn enter(&mut self, own: f64, line: Line, use_: f64, weight: f64, now: Ms) -> Option<f64> {
-        let size = self.kb(line);
-        let (seen, settled_at) = self.fleet.line(line)?;
-        if !sound(use_) || now < *settled_at {
-            return None;
-        }
-        let use_ = match *seen {
-            Some(old) if now - old.at < STALE => weight * use_ + (1.0 - weight) * moved_on(old, own, size),
-            _ => use_,
-        };
-        *seen = Some(Seen { value: use_, at: now, own });
-        Some(use_)
-    }
-
     /// The share of their rates that sessions at a server got: its link is asked for so much more than it
     /// gives. Where the uplink is what falls short, every server of the rack tells so for itself.
     pub fn share_heard(&mut self, hand: &mut Hand, server: ServerId, share: f64, now: Ms) {
@@ -169,43 +161,6 @@
         }
     }
 
-    /// What this front heard first hand of links since its last message, for the other fronts. Each entry is
-    /// the server's id and its link's use in thousandths, both little-endian. Each receiver is paid for, so
-    /// that telling everyone grows with the square of the fronts: a message waits until requests have paid.
-    fn message(&mut self, now: Ms) -> Option<Vec<u8>> {
-        if !self.terms.may_message || self.terms.fronts < 2 || now - self.told_at < TELL_PACE {
-            return None;
-        }
-        let mut bytes = Vec::new();
-        for s in self.fleet.servers.values() {
-            if let Some((use_, _)) = s.first_hand.filter(|(_, at)| *at > self.told_at) {
-                bytes.extend(s.listed.id.0.to_le_bytes());
-                bytes.extend(((use_ * 1e3).min(6e4) as u16).to_le_bytes());
-            }
-        }
-        self.told_at = now;
-        bytes.truncate(MESSAGE_MOST);
-        let price = self.terms.message_price * bytes.len() as f64 * (self.terms.fronts - 1) as f64;
-        if bytes.is_empty() || self.spent + price > MESSAGE_SPEND * self.asked as f64 {
-            return None;
-        }
-        self.spent += price;
-        Some(bytes)
-    }
-
-    /// What another front heard: it enters the table, but only what is heard first hand steps anyone down,
-    /// or each report would do so at every front. It may be late, lost or garbled; nothing relies on it.
-    pub fn peer_heard(&mut self, hand: &Hand, bytes: &[u8], now: Ms) {
-        for entry in bytes.chunks_exact(6) {
-            let id = ServerId(u32::from_le_bytes([entry[0], entry[1], entry[2], entry[3]]));
-            let use_ = u16::from_le_bytes([entry[4], entry[5]]) as f64 / 1e3;
-            let then = now - self.terms.share_delay - TELL_PACE;
-            let since = hand.grown_since(&self.terms, |s| s.at == Some(id), then) / self.kb(Line::Link(id));
-            let own = self.own_kb(&hand.loads(&self.terms), Line::Link(id));
-            self.enter(own, Line::Link(id), (use_ + since).max(0.0), MERGE, now);
-        }
-    }
-
     /// The answer to a probe. Sessions that wait for it are placed next.
     pub fn probed(&mut self, hand: &mut Hand, server: ServerId, ending: Ending, now: Ms) {
         for s in hand.sess.values_mut().filter(|s| s.held_until.is_some() && s.asked.last() == Some(&server))
@@ -466,10 +421,7 @@
     /// nothing while a shortage that was heard is already over; a guess at what was not heard turns nobody away.
     fn has_room(&self, hand: &Hand, loads: &Loads, server: ServerId, new: &Sess) -> bool {
         let floor = |s: &Sess| self.terms.rate(s.group, self.terms.groups[s.group.0 as usize].floor);
-        let own = hand.sess.values().filter(|s| s.at.is_some());
-        let (least, now) =
-            own.fold((0.0, 0.0), |(a, b), s| (a + floor(s), b + self.terms.rate(s.group, s.rung)));
-        let height = if now > 0.0 { least / now } else { 1.0 };
+        let height = self.lowest(hand, |s| s.at.is_some());
         let r = &self.fleet.servers[&server];
         let rack = self.terms.rack(r.listed.cell);
         let uplink = self.fleet.racks.get(&rack).and_then(|r| r.uplink);
@@ -479,6 +431,19 @@
             && !(self.fresh(uplink).is_some() && full(Line::Uplink(rack), self.uplink_use(loads, rack)))
     }
 
+    /// What is left of the load of these sessions once each stands at its lowest rung, as a share of it.
+    fn lowest(&self, hand: &Hand, of: impl Fn(&Sess) -> bool) -> f64 {
+        let floor = |s: &Sess| self.terms.rate(s.group, self.terms.groups[s.group.0 as usize].floor);
+        let of = hand.sess.values().filter(|s| of(s));
+        let (least, now) =
+            of.fold((0.0, 0.0), |(a, b), s| (a + floor(s), b + self.terms.rate(s.group, s.rung)));
+        if now > 0.0 {
+            least / now
+        } else {
+            1.0
+        }
+    }
+
     fn on_line(&self, s: &Sess, line: Line) -> bool {
         s.at.is_some_and(|at| match line {
             Line::Link(id) => at == id,
@@ -664,7 +629,7 @@
         for id in roomy.collect::<Vec<_>>() {
             self.step_up(hand, id, now);
         }
-        let mut due = Due { again_at: now + LOOK, message: self.message(now), ..Due::default() };
+        let mut due = Due { again_at: now + LOOK, ..Due::default() };
         due.probes = std::mem::take(&mut self.probes);
         for (id, s) in &mut hand.sess {
             match s.held_until {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -42,8 +42,6 @@
     pub listed: Listed,
     /// What is asked of the link over what it gives.
     pub link: Option<Seen>,
-    /// The use that this front last heard itself, and when.
-    pub first_hand: Option<(f64, Ms)>,
     /// Streams that it runs or sets up.
     pub streams: Option<Seen>,
     /// Failures in a row, and until when it is set aside for them.
@@ -69,7 +67,6 @@
         Server {
             listed,
             link: None,
-            first_hand: None,
             streams: None,
             fails: 0,
             aside_until: Ms::NEG_INFINITY,
--- a/src/front.rs
+++ b/src/front.rs
@@ -25,11 +25,6 @@
     pub born: Ms,
     /// The time of the last call.
     pub clock: Ms,
-    /// When the other fronts were last told what was heard.
-    pub told_at: Ms,
-    /// Requests taken since the start, and what messages have cost.
-    pub asked: u64,
-    pub spent: f64,
     /// When requests were taken and further SETUPs sent, as far back as the budget looks.
     pub taken: VecDeque<Ms>,
     pub further: VecDeque<Ms>,
@@ -50,9 +45,6 @@
             rng: fastrand::Rng::with_seed(seed),
             born: now,
             clock: now,
-            told_at: now,
-            asked: 0,
-            spent: 0.0,
             taken: VecDeque::new(),
             further: VecDeque::new(),
             stock: Stock::default(),
@@ -90,7 +82,6 @@
     /// A request was taken.
     pub fn taken(&mut self, hand: &mut Hand, id: SessId, r: Request, now: Ms) {
         self.taken.push_back(now);
-        self.asked += 1;
         hand.sess.insert(id, self.session(r, now));
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -43,8 +43,6 @@
 pub struct Due {
     pub rungs: Vec<(SessId, u8)>,
     pub probes: Vec<ServerId>,
-    /// A message for all other fronts.
-    pub message: Option<Vec<u8>>,
     pub place: Vec<SessId>,
     pub log: Vec<String>,
     pub again_at: Ms,
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -75,9 +75,6 @@
     pub columns: Vec<Column>,
     pub probe_fed: bool,
     pub may_probe: bool,
-    pub may_message: bool,
-    /// What a delivered byte costs, in utility of a session.
-    pub message_price: f64,
     pub tells_return: bool,
     pub max_return: Ms,
     pub max_setups: u16,
@@ -178,8 +175,6 @@
             columns: columns.split(',').filter(|c| !c.is_empty()).map(column).collect(),
             probe_fed: told.text("reporting.via") == Some("pull"),
             may_probe: told.text("limits.probes") == Some("true"),
-            may_message: told.text("limits.peer_messages") == Some("true"),
-            message_price: told.opt("tariffs.peer")?.unwrap_or(0.0) / 256.0,
             tells_return: told.text("limits.retry_after") == Some("true"),
             max_return: told.opt("limits.max_retry_after")?.unwrap_or(0.0),
             max_setups: told.need("limits.attempts_cap")?,
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -118,36 +118,6 @@
     }
 }
 
-#[test_case(&[3, 0, 0, 0, 0xE8, 0x03] => 0.75; "use of 1.0 of the fourth server")]
-#[test_case(&[3, 0, 0] => 0.5; "cut short")]
-#[test_case(&[9, 9, 9, 9, 0, 0] => 0.5; "a server that no list has named")]
-fn what_another_front_heard_enters_the_table(bytes: &[u8]) -> f64 {
-    let mut f = front(terms());
-    f.peer_heard(&Hand::default(), bytes, NOW);
-    f.fleet.servers[&ServerId(3)].link.unwrap().value
-}
-
-#[test_case(2, 3 => true; "few fronts")]
-#[test_case(200, 3 => false; "many fronts")]
-#[test_case(200, 1_000 => true; "many fronts, once requests have paid for it")]
-fn a_message_waits_until_requests_have_paid_for_its_receivers(fronts: u32, asked: u64) -> bool {
-    let t = walnutline::terms::Terms { fronts, message_price: 5e-5, may_message: true, ..terms() };
-    let mut f = front(t);
-    f.asked = asked;
-    f.fleet.servers.get_mut(&ServerId(0)).unwrap().first_hand = Some((0.5, NOW));
-    f.wait(&mut Hand::default(), NOW).message.is_some()
-}
-
-#[test_case(1_400.0 => 0.6; "started since")]
-#[test_case(1_600.0 => 0.5; "in it already")]
-fn what_another_front_heard_is_a_telling_older(ago: Ms) -> f64 {
-    let mut f = front(terms());
-    f.fleet.servers.get_mut(&ServerId(3)).unwrap().link = Some(Seen { value: 0.5, at: NOW, own: 400.0 });
-    let h = hand([Sess { changed: NOW - ago, ..playing(3, 2, NOW - ago) }]);
-    f.peer_heard(&h, &[3, 0, 0, 0, 0xF4, 0x01], NOW);
-    f.fleet.servers[&ServerId(3)].link.unwrap().value
-}
-
 #[test_case(1.3 => None; "full still, though this front has left")]
 #[test_case(0.9 => Some(0); "room")]
 fn a_full_link_is_not_empty_once_this_front_has_left_it(heard: f64) -> Option<u32> {
@@ -433,3 +403,13 @@
         other => panic!("{other:?}"),
     }
 }
+
+#[test_case(2, 0.75 => 1; "all can give")]
+#[test_case(0, 0.75 => 2; "most cannot, as its own elsewhere cannot")]
+fn a_front_sheds_by_what_can_be_given(elsewhere: u8, share: f64) -> usize {
+    let mut f = front(terms());
+    let here = (0..2).map(|_| playing(0, 2, 0.0));
+    let mut h = hand(here.chain((0..8).map(|_| playing(3, elsewhere, 0.0))));
+    f.share_heard(&mut h, ServerId(0), share, NOW);
+    f.rungs.len()
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -32,8 +32,6 @@
         columns: vec![Column::Streams, Column::Link],
         probe_fed: true,
         may_probe: true,
-        may_message: false,
-        message_price: 0.0,
         tells_return: true,
         max_return: 500.0,
         max_setups: 4,
--- a/tests/terms.rs
+++ b/tests/terms.rs
@@ -18,7 +18,7 @@
 fn absent_options_are_off_and_unknown_keys_are_skipped() {
     let t = Terms::parse(&format!("{LEAST}some.new.key=7\n")).unwrap();
     assert!(t.budget.is_none() && t.cold.is_none());
-    assert!(!t.may_probe && !t.may_message && !t.tells_return && t.columns.is_empty());
+    assert!(!t.may_probe && !t.tells_return && t.columns.is_empty());
 }
 
 #[test_case("inflight,util" => vec![Column::Streams, Column::Link]; "util alone")]
