Room for newcomers ends at the mark, not at full; no sessions in hand, nobody turned away

The mark of 0.8 leaves room for what is not heard yet. It guards against any crowd; it can turn viewers away where news overstates use.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -20,7 +20,8 @@
 /// Use, with the session itself, from which a new one gets a lower rung, and the use for each rung lower.
 const START_MARK: f64 = 0.7;
 const STEP: f64 = 0.1;
-/// Use, at the higher rate, under which a playing session is stepped up.
+/// Use, at the higher rate, under which a playing session is stepped up; newcomers are let in while use stays
+/// under it once all stand at their lowest rungs.
 const MARK: f64 = 0.8;
 /// Use over which playing sessions are stepped down.
 const FULL: f64 = 1.0;
@@ -425,23 +426,20 @@
         let r = &self.fleet.servers[&server];
         let rack = self.terms.rack(r.listed.cell);
         let uplink = self.fleet.racks.get(&rack).and_then(|r| r.uplink);
-        let full = |line, use_: f64| use_ * height + floor(new) / self.kb(line) > FULL;
+        let full = |line, use_: f64| use_ * height + floor(new) / self.kb(line) > MARK;
         r.busy_until <= self.clock
             && !(self.fresh(r.link).is_some() && full(Line::Link(server), self.link_use(loads, server)))
             && !(self.fresh(uplink).is_some() && full(Line::Uplink(rack), self.uplink_use(loads, rack)))
     }
 
-    /// What is left of the load of these sessions once each stands at its lowest rung, as a share of it.
+    /// What is left of the load of these sessions once each stands at its lowest rung, as a share of it; a front
+    /// that has none knows nothing of heights and turns nobody away for them.
     fn lowest(&self, hand: &Hand, of: impl Fn(&Sess) -> bool) -> f64 {
         let floor = |s: &Sess| self.terms.rate(s.group, self.terms.groups[s.group.0 as usize].floor);
         let of = hand.sess.values().filter(|s| of(s));
         let (least, now) =
             of.fold((0.0, 0.0), |(a, b), s| (a + floor(s), b + self.terms.rate(s.group, s.rung)));
-        if now > 0.0 {
-            least / now
-        } else {
-            1.0
-        }
+        least / now.max(1e-3)
     }
 
     fn on_line(&self, s: &Sess, line: Line) -> bool {
