Comments say what each defence guards against; unread settings out, lists bounded

What was noted for the budget of further SETUPs grew without end where no budget is stated; a front's own number is no longer read since turns are gone.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -185,7 +185,7 @@
         let s = hand.sess.get_mut(&id).expect("the session that was just read");
         match &answer {
             Place::Setup { server, rung, .. } => {
-                if s.setups > 0 {
+                if s.setups > 0 && self.terms.budget.is_some() {
                     self.further.push_back(now);
                 }
                 let span = self.terms.cold.map_or(0.0, |c| c.span);
@@ -238,6 +238,8 @@
         };
         let target_left = s.came + group.start_target - now;
         // Where its news is old, it is asked first: what it answers may change the choice, and sets the rung.
+        // Guards against placing by a guess: many fronts, a front that comes back, dead servers still listed.
+        // It can harm where probes are slow; a lost answer costs its wait, and none is asked late.
         let news = self.fleet.servers[&server].link.map_or(Ms::NEG_INFINITY, |seen| seen.at);
         let in_time = target_left > group.start_target * ASK_TARGET;
         if self.terms.may_probe && now - news > ASK_AFTER && s.asked.len() < ASK_MOST && in_time {
@@ -377,6 +379,7 @@
     /// What others carry on a server on average: as on those heard from or, while nothing is heard, what they
     /// carry if they do as this front does. They are also taken to have added to each server, unseen as yet,
     /// what this front has added to all of late: a crowd comes to all fronts, and all follow the same news.
+    /// Where a crowd comes to this front alone, it keeps clear of more servers than it need.
     fn take_stock(&mut self, hand: &Hand, loads: &Loads, now: Ms) {
         let ready = self.fleet.servers.values().filter(|s| s.listed.listing == Listing::Ready).count();
         let alike = self.terms.fronts.saturating_sub(1) as f64 / ready.max(1) as f64;
@@ -558,6 +561,8 @@
         s.tried.push(server);
         self.judge(server, Some(ending), now);
         if ending == Ending::BusyReplied {
+            // Else the server would stay cheapest and draw every retry, whether its link, its streams or its
+            // queue is full. Where it has room again at once, it is left out for a moment for nothing.
             self.fleet.servers.get_mut(&server).expect("sent there").busy_until = now + BUSY;
         }
         self.place(hand, id, now)
--- a/src/front.rs
+++ b/src/front.rs
@@ -81,7 +81,9 @@
 
     /// A request was taken.
     pub fn taken(&mut self, hand: &mut Hand, id: SessId, r: Request, now: Ms) {
-        self.taken.push_back(now);
+        if self.terms.budget.is_some() {
+            self.taken.push_back(now);
+        }
         hand.sess.insert(id, self.session(r, now));
     }
 
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -60,7 +60,6 @@
 #[derive(Debug, Clone)]
 pub struct Terms {
     pub fronts: u32,
-    pub my_number: u32,
     pub groups: Vec<Group>,
     /// The ladder: rate of each rung in kB a second, and what it earns.
     pub rung_kb: Vec<f64>,
@@ -162,7 +161,6 @@
         };
         Ok(Terms {
             fronts: told.opt("balancers")?.unwrap_or(1),
-            my_number: told.opt("my_number")?.unwrap_or(0),
             groups,
             rung_kb,
             rung_utility,
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -261,8 +261,8 @@
 #[test_case(200, 20.0, false; "left alone by many")]
 fn all_fronts_together_spare_a_cold_server(fronts: u32, streams: f64, used: bool) {
     let mut all: Vec<_> = (0..fronts)
-        .map(|my_number| {
-            let t = walnutline::terms::Terms { fronts, my_number, cold: Some(cold()), ..terms() };
+        .map(|_| {
+            let t = walnutline::terms::Terms { fronts, cold: Some(cold()), ..terms() };
             let mut f = front(walnutline::terms::Terms { kind_streams: vec![streams], ..t });
             f.fleet.servers.get_mut(&ServerId(0)).unwrap().listed.started = Some(NOW);
             f
@@ -290,7 +290,6 @@
 fn a_server_seen_to_die_counts_as_cold_when_it_answers_again(ending: Ending) {
     let mut f = front(walnutline::terms::Terms { cold: Some(cold()), ..terms() });
     f.terms.kind_streams = vec![2.0];
-    f.terms.my_number = 1;
     let out = Sess { at: Some(ServerId(0)), setups: 1, span: 1, ..sess() };
     let place = f.after(&mut hand([out]), ONE, ending, NOW);
     assert!(matches!(place, Place::NotYet | Place::BusyReply { .. }), "{place:?}");
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -10,7 +10,6 @@
 pub fn terms() -> Terms {
     Terms {
         fronts: 2,
-        my_number: 0,
         groups: vec![Group {
             start_target: 1_000.0,
             utility: 1.0,
