The desk: one use of the decisions for the bench's adapter and the live front

The live front needs the handling of answers and timers that stood in the bench's adapter, and a request that names the boxes holding its title.

crates/desk holds the module with its sessions in hand; wirehost now stands on it. Holders enter the choice as a range of cells or as named servers. For the live front it adds, without input or output: the state of a control connection and what its end proves of each message, waits before reconnecting, the numbering of the list, what is held back after the process stood still, and the live desk over them.

--- /dev/null
+++ b/crates/desk/src/desk.rs
@@ -0,0 +1,138 @@
+//! The decisions in use: the module with its sessions in hand and its one timer. Each event is one call with
+//! its time; what the module answers comes out as [`Action`]s. The bench's adapter and the live front both
+//! stand on this; it decides nothing.
+use walnutline::fleet::Listed;
+use walnutline::front::Front;
+use walnutline::hand::Hand;
+use walnutline::ids::{Ms, ServerId, SessId};
+use walnutline::interface::{Ending, Place, Request};
+use walnutline::terms::Terms;
+
+/// What the caller has to do, in this order.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Send a SETUP; its outcome is owed through [`Desk::started`] or [`Desk::ended`].
+    Setup { id: SessId, server: ServerId, rung: u8, timeout: Ms },
+    /// A playing session changes rung.
+    Rung { id: SessId, rung: u8 },
+    /// Ask a server for its load; the answer is owed through [`Desk::probed`].
+    Probe { server: ServerId },
+    /// The final answer: busy reply, with the time to come back where one is told.
+    BusyReply { id: SessId, come_back: Option<Ms> },
+    /// The final answer: torn down.
+    TornDown { id: SessId },
+    /// A line for the log.
+    Log(String),
+    /// Call [`Desk::attend`] at this time at the latest. A later one never replaces an earlier one.
+    AgainAt(Ms),
+}
+
+pub struct Desk {
+    pub front: Front,
+    pub hand: Hand,
+    /// The earliest time that was asked for by [`Action::AgainAt`] and has not come.
+    again_at: Option<Ms>,
+}
+
+impl Desk {
+    pub fn new(terms: Terms, seed: u64, now: Ms) -> Self {
+        Desk { front: Front::new(terms, seed, now), hand: Hand::default(), again_at: None }
+    }
+
+    /// A viewer's request was taken.
+    pub fn asked(&mut self, id: SessId, request: Request, now: Ms, out: &mut Vec<Action>) {
+        self.front.taken(&mut self.hand, id, request, now);
+        let place = self.front.place(&mut self.hand, id, now);
+        answer(id, place, out);
+    }
+
+    /// A session that was playing when this front started.
+    pub fn under_way(&mut self, id: SessId, request: Request, server: ServerId, now: Ms) {
+        self.front.under_way(&mut self.hand, id, request, server, now);
+    }
+
+    /// A SETUP led to play: the final answer of its session.
+    pub fn started(&mut self, id: SessId, now: Ms) {
+        self.front.started(&mut self.hand, id, now);
+    }
+
+    /// How a SETUP, or the session that came of it, ended. `over`: no answer is owed any more.
+    pub fn ended(&mut self, id: SessId, ending: Ending, over: bool, now: Ms, out: &mut Vec<Action>) {
+        if over {
+            if let Some(s) = self.hand.sess.get_mut(&id) {
+                s.answered = true;
+            }
+        }
+        let place = self.front.after(&mut self.hand, id, ending, now);
+        answer(id, place, out);
+    }
+
+    /// The viewer left before an answer; the outcome of a SETUP that is out is still owed.
+    pub fn left(&mut self, id: SessId) {
+        self.front.left(&mut self.hand, id);
+    }
+
+    /// The outcome of a probe; what it reported goes to [`Desk::report`] first.
+    pub fn probed(&mut self, server: ServerId, ending: Ending, now: Ms) {
+        self.front.probed(&mut self.hand, server, ending, now);
+    }
+
+    /// A load report, its values in the order of the terms' columns.
+    pub fn report(&mut self, server: ServerId, values: &[f64], now: Ms) {
+        self.front.report(&mut self.hand, server, values, now);
+    }
+
+    pub fn share_heard(&mut self, server: ServerId, share: f64, now: Ms) {
+        self.front.share_heard(&mut self.hand, server, share, now);
+    }
+
+    pub fn link_heard(&mut self, server: ServerId, use_: f64, now: Ms) {
+        self.front.link_heard(&mut self.hand, server, use_, now);
+    }
+
+    pub fn uplink_heard(&mut self, server: ServerId, use_: f64, now: Ms) {
+        self.front.uplink_heard(&mut self.hand, server, use_, now);
+    }
+
+    pub fn rung_told(&mut self, id: SessId, rung: u8) {
+        self.front.rung_told(&mut self.hand, id, rung);
+    }
+
+    pub fn listed(&mut self, line: Listed) {
+        self.front.listed(line);
+    }
+
+    pub fn listed_all(&mut self, lines: Vec<Listed>) {
+        self.front.listed_all(lines);
+    }
+
+    /// A time that was asked for has come.
+    pub fn rang(&mut self, now: Ms) {
+        self.again_at = self.again_at.filter(|t| *t > now);
+    }
+
+    /// Does what is due. To be called once after the events of each moment.
+    pub fn attend(&mut self, now: Ms, out: &mut Vec<Action>) {
+        let due = self.front.wait(&mut self.hand, now);
+        out.extend(due.rungs.into_iter().map(|(id, rung)| Action::Rung { id, rung }));
+        out.extend(due.probes.into_iter().map(|server| Action::Probe { server }));
+        for id in due.place {
+            let place = self.front.place(&mut self.hand, id, now);
+            answer(id, place, out);
+        }
+        out.extend(due.log.into_iter().map(Action::Log));
+        if self.again_at.is_none_or(|t| t > due.again_at) {
+            self.again_at = Some(due.again_at);
+            out.push(Action::AgainAt(due.again_at));
+        }
+    }
+}
+
+fn answer(id: SessId, place: Place, out: &mut Vec<Action>) {
+    match place {
+        Place::Setup { server, rung, timeout } => out.push(Action::Setup { id, server, rung, timeout }),
+        Place::BusyReply { come_back } => out.push(Action::BusyReply { id, come_back }),
+        Place::TornDown => out.push(Action::TornDown { id }),
+        Place::NotYet | Place::Nothing => {}
+    }
+}
--- /dev/null
+++ b/crates/desk/src/live.rs
@@ -0,0 +1,584 @@
+//! The desk in service. Events come in by calls, each with its time: viewers' requests, what control
+//! connections say and how they end, the list of boxes. What has to be done comes out as [`Do`]s. All state of
+//! sessions in hand and of control connections is here and has this one writer. Where a session goes and what
+//! follows an outcome is the module's to say; here it is only told which outcome it was.
+use crate::desk::{Action, Desk};
+use crate::link::{Asked, Link, Sent, State};
+use crate::stall::Stall;
+use crate::timers::Timers;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use walnutline::fleet::{Listed, Listing};
+use walnutline::ids::{GroupNo, Ms, ServerId, SessId, TitleId};
+use walnutline::interface::{Ending, Holders, Request};
+use walnutline::terms::{Column, Terms};
+
+/// Limits of waiting that the operator states, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Waits {
+    /// For a control connection to open.
+    pub connect: Ms,
+    /// For the answer to a probe.
+    pub probe: Ms,
+    /// A connection on which an answer is owed and nothing is heard for so long is closed.
+    pub silence: Ms,
+    /// Kept of a viewer's patience for the way of the answer.
+    pub way_back: Ms,
+}
+
+/// A viewer's request that was let in.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Ask {
+    pub group: GroupNo,
+    pub title: TitleId,
+    pub holders: Vec<ServerId>,
+    pub top: u8,
+    /// How long the viewer waits from now.
+    pub left: Ms,
+}
+
+/// One line of the list with the way to the box.
+#[derive(Debug, Clone, PartialEq)]
+pub struct BoxLine {
+    pub listed: Listed,
+    pub control: SocketAddr,
+}
+
+/// Figures of a load report, those that were told.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Report {
+    pub streams: Option<f64>,
+    pub link: Option<f64>,
+    pub uplink: Option<f64>,
+}
+
+/// What a box said.
+#[derive(Debug, Clone, PartialEq)]
+pub enum FromBox {
+    Reply {
+        cseq: u32,
+        outcome: Outcome,
+        report: Report,
+    },
+    /// The share of their rates that this front's sessions there got.
+    Share(f64),
+    /// News of the box's load that it gives by itself.
+    News(Report),
+    /// A session ended, by the name that the box gave it.
+    Over {
+        session: String,
+    },
+}
+
+/// What an answer to a message says of it.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Outcome {
+    /// Done; for a SETUP with the box's name for the session.
+    Done {
+        session: Option<String>,
+    },
+    Busy,
+    Error,
+}
+
+/// What is to be sent to a box. `T` is what the caller keeps with a session.
+#[derive(Debug, PartialEq)]
+pub enum ToBox<T> {
+    Setup { id: SessId, of: Arc<T>, rung: u8 },
+    Probe,
+    Rung { session: String, rung: u8 },
+    Teardown { session: String },
+}
+
+/// The one answer to a viewer's request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Answer {
+    Plays { server: ServerId, rung: u8 },
+    Busy { come_back: Option<Ms> },
+    TornDown,
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Do<T> {
+    Connect { server: ServerId, conn: u64, address: SocketAddr },
+    Close { server: ServerId, conn: u64 },
+    Send { server: ServerId, conn: u64, cseq: u32, what: ToBox<T> },
+    Answer { id: SessId, of: Arc<T>, answer: Answer },
+    Log(String),
+}
+
+/// What a timer is for.
+enum Due {
+    Answer { server: ServerId, conn: u64, cseq: u32 },
+    Waiting { server: ServerId, ticket: u64 },
+    Reconnect { server: ServerId },
+    Silence { server: ServerId, conn: u64 },
+}
+
+struct Sess<T> {
+    of: Arc<T>,
+    /// Whether the viewer still waits for the answer.
+    owed: bool,
+    /// Where its SETUP is out and until when, with its number once it went out.
+    out: Option<SetupOut>,
+    /// Where it plays, and the box's name for it.
+    plays: Option<(ServerId, String)>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct SetupOut {
+    server: ServerId,
+    cseq: Option<u32>,
+    until: Ms,
+}
+
+pub struct Live<T> {
+    desk: Desk,
+    waits: Waits,
+    links: BTreeMap<ServerId, Link>,
+    sess: BTreeMap<SessId, Sess<T>>,
+    timers: Timers<Due>,
+    again_at: Ms,
+    stall: Stall,
+    rng: fastrand::Rng,
+    actions: Vec<Action>,
+    dos: Vec<Do<T>>,
+}
+
+impl<T> Live<T> {
+    pub fn new(terms: Terms, waits: Waits, seed: u64, now: Ms) -> Self {
+        Live {
+            desk: Desk::new(terms, seed, now),
+            waits,
+            links: BTreeMap::new(),
+            sess: BTreeMap::new(),
+            timers: Timers::default(),
+            again_at: now,
+            stall: Stall::default(),
+            // Apart from the module's chance: what connections do must not change what it draws.
+            rng: fastrand::Rng::with_seed(!seed),
+            actions: Vec::new(),
+            dos: Vec::new(),
+        }
+    }
+
+    /// What is to be done, in order; to be taken after each round of events and [`Live::attend`].
+    pub fn take(&mut self) -> Vec<Do<T>> {
+        std::mem::take(&mut self.dos)
+    }
+
+    /// Requests that still wait for their answer.
+    pub fn owed(&self) -> usize {
+        self.sess.values().filter(|s| s.owed).count()
+    }
+
+    pub fn playing(&self) -> usize {
+        self.sess.values().filter(|s| s.plays.is_some()).count()
+    }
+
+    // ---- viewers ----
+
+    pub fn asked(&mut self, id: SessId, ask: Ask, of: T, now: Ms) {
+        self.sess.insert(id, Sess { of: Arc::new(of), owed: true, out: None, plays: None });
+        let request = Request {
+            group: ask.group,
+            title: ask.title,
+            holders: Holders::named(ask.holders),
+            top: ask.top,
+            left: ask.left - self.waits.way_back,
+        };
+        self.desk.asked(id, request, now, &mut self.actions);
+        self.settle(now);
+    }
+
+    /// The viewer left before its answer: its SETUP, if one is out, is not waited for.
+    pub fn left(&mut self, id: SessId, now: Ms) {
+        let Some(s) = self.sess.get_mut(&id) else { return };
+        if !s.owed {
+            return;
+        }
+        s.owed = false;
+        let out = s.out.take();
+        self.desk.left(id);
+        if let Some(out) = out {
+            if let Some(link) = self.links.get_mut(&out.server) {
+                match out.cseq {
+                    Some(cseq) => drop(link.give_up(cseq)),
+                    None => drop(link.take_waiting_setup(id)),
+                }
+            }
+            self.desk.ended(id, Ending::Withdrawn, true, now, &mut self.actions);
+        }
+        self.sess.remove(&id);
+        self.settle(now);
+    }
+
+    /// Where a session plays and at which rung, for a renewed manifest; `None` once it is over.
+    pub fn plays(&self, id: SessId) -> Option<(ServerId, u8, Arc<T>)> {
+        let s = self.sess.get(&id)?;
+        let (server, _) = s.plays.as_ref()?;
+        Some((*server, self.desk.hand.sess.get(&id)?.rung, s.of.clone()))
+    }
+
+    // ---- the list ----
+
+    pub fn listed_all(&mut self, lines: Vec<BoxLine>, now: Ms) {
+        self.desk.listed_all(lines.iter().map(|l| l.listed.clone()).collect());
+        self.links.values_mut().for_each(|link| link.listing = Listing::Gone);
+        lines.into_iter().for_each(|line| self.line(line, now));
+        self.hang_up_gone();
+        self.settle(now);
+    }
+
+    pub fn listed(&mut self, lines: Vec<BoxLine>, now: Ms) {
+        for line in lines {
+            self.desk.listed(line.listed.clone());
+            self.line(line, now);
+        }
+        self.hang_up_gone();
+        self.settle(now);
+    }
+
+    fn line(&mut self, line: BoxLine, now: Ms) {
+        let server = line.listed.id;
+        let link = self.links.entry(server).or_insert_with(|| Link::new(line.control, line.listed.listing));
+        link.listing = line.listed.listing;
+        if link.address != line.control {
+            link.address = line.control;
+            if let State::Connecting { conn } | State::Up { conn } = link.state {
+                self.dos.push(Do::Close { server, conn });
+                self.closed(server, conn, u32::MAX, now);
+            }
+        }
+        let link = self.links.get_mut(&server).expect("a link that was just found");
+        if link.listing != Listing::Gone && matches!(link.state, State::Waiting { until } if until <= now) {
+            self.connect(server, now);
+        }
+    }
+
+    /// Connections to boxes that are gone close once nothing is left on them.
+    fn hang_up_gone(&mut self) {
+        let gone = self.links.iter().filter(|(_, link)| link.listing == Listing::Gone);
+        for server in gone.map(|(id, _)| *id).collect::<Vec<_>>() {
+            self.hang_up(server);
+        }
+    }
+
+    fn hang_up(&mut self, server: ServerId) {
+        let Some(link) = self.links.get_mut(&server) else { return };
+        if let (Listing::Gone, Some(conn), true) = (link.listing, link.up(), link.is_quiet()) {
+            link.state = State::Waiting { until: Ms::NEG_INFINITY };
+            self.dos.push(Do::Close { server, conn });
+        }
+    }
+
+    // ---- control connections ----
+
+    fn connect(&mut self, server: ServerId, now: Ms) {
+        let Some(link) = self.links.get_mut(&server) else { return };
+        let conn = link.connect();
+        link.heard_at = now;
+        self.dos.push(Do::Connect { server, conn, address: link.address });
+    }
+
+    pub fn connected(&mut self, server: ServerId, conn: u64, now: Ms) {
+        let Some(link) = self.links.get_mut(&server).filter(|l| l.is_current(conn)) else { return };
+        link.heard_at = now;
+        for (what, cseq) in link.connected(conn) {
+            let until = match &what {
+                // One that waited for the connection keeps the time-out that it was given.
+                Asked::Setup(id) => self.sess.get(id).and_then(|s| s.out).map_or(now, |out| out.until),
+                _ => now + self.waits.probe,
+            };
+            self.out(server, conn, cseq, what, until);
+        }
+        self.watch_silence(server, conn);
+        self.settle(now);
+    }
+
+    /// The connection could not be opened in time.
+    pub fn not_connected(&mut self, server: ServerId, conn: u64, now: Ms) {
+        let Some(link) = self.links.get_mut(&server).filter(|l| l.is_current(conn)) else { return };
+        let until = now + link.retry.failed(&mut self.rng);
+        for what in link.not_connected(until) {
+            self.ended(server, what, Ending::NoConnection, now);
+        }
+        self.timers.set(until, Due::Reconnect { server });
+        self.settle(now);
+    }
+
+    /// A connection closed, after the writing of so many messages had begun.
+    pub fn closed(&mut self, server: ServerId, conn: u64, begun: u32, now: Ms) {
+        let Some(link) = self.links.get_mut(&server).filter(|l| l.is_current(conn)) else { return };
+        let until = now + link.retry.failed(&mut self.rng);
+        let ends = link.closed(begun, until);
+        for (what, ending) in ends.out {
+            self.ended(server, what, ending, now);
+        }
+        for id in ends.sessions {
+            self.over(id, Ending::Broken, now);
+        }
+        self.timers.set(until, Due::Reconnect { server });
+        self.settle(now);
+    }
+
+    pub fn told(&mut self, server: ServerId, conn: u64, told: FromBox, now: Ms) {
+        let Some(link) = self.links.get_mut(&server).filter(|l| l.up() == Some(conn)) else { return };
+        link.heard_at = now;
+        match told {
+            FromBox::Reply { cseq, outcome, report } => self.reply(server, conn, cseq, outcome, report, now),
+            FromBox::Share(share) => self.desk.share_heard(server, share, now),
+            FromBox::News(report) => self.news(server, report, now),
+            FromBox::Over { session } => {
+                if let Some(id) = link.session_over(&session) {
+                    self.over(id, Ending::Done, now);
+                }
+            }
+        }
+        self.settle(now);
+    }
+
+    fn reply(&mut self, server: ServerId, conn: u64, cseq: u32, outcome: Outcome, report: Report, now: Ms) {
+        let Some(link) = self.links.get_mut(&server) else { return };
+        let Some(out) = link.answered(cseq) else { return };
+        match (out.what, outcome) {
+            // An answer that comes too late, or that nobody waits for, never plays.
+            (Asked::Setup(_), Outcome::Done { session: Some(session) }) if out.given_up => {
+                self.send(server, conn, Asked::Other, ToBox::Teardown { session });
+            }
+            (Asked::Setup(id), Outcome::Done { session: Some(session) }) => {
+                self.plays_at(id, server, session, now);
+                self.news(server, report, now);
+            }
+            (Asked::Setup(id), outcome) if !out.given_up => {
+                // A SETUP that was done without a session to show for it may have run.
+                let ending = if outcome == Outcome::Busy { Ending::BusyReplied } else { Ending::Errored };
+                self.ended(server, Asked::Setup(id), ending, now);
+                self.news(server, report, now);
+            }
+            (Asked::Probe, outcome) if !out.given_up => {
+                let ending = match outcome {
+                    Outcome::Done { .. } => Ending::Done,
+                    Outcome::Busy => Ending::BusyReplied,
+                    Outcome::Error => Ending::Errored,
+                };
+                self.news(server, report, now);
+                self.desk.probed(server, ending, now);
+            }
+            _ => {}
+        }
+    }
+
+    fn news(&mut self, server: ServerId, report: Report, now: Ms) {
+        if report == Report::default() {
+            return;
+        }
+        let told = |column: &Column| match column {
+            Column::Streams => report.streams,
+            Column::Link => report.link,
+            Column::Uplink => report.uplink,
+            Column::Other => None,
+        };
+        // What was not told is no figure; the module leaves such out.
+        let values: Vec<f64> =
+            self.desk.front.terms.columns.iter().map(|c| told(c).unwrap_or(f64::NAN)).collect();
+        self.desk.report(server, &values, now);
+    }
+
+    // ---- sessions ----
+
+    fn plays_at(&mut self, id: SessId, server: ServerId, session: String, now: Ms) {
+        let Some(s) = self.sess.get_mut(&id) else { return };
+        (s.out, s.plays, s.owed) = (None, Some((server, session.clone())), false);
+        let of = s.of.clone();
+        if let Some(link) = self.links.get_mut(&server) {
+            link.plays(session, id);
+        }
+        self.desk.started(id, now);
+        let rung = self.desk.hand.sess.get(&id).map_or(0, |s| s.rung);
+        self.dos.push(Do::Answer { id, of, answer: Answer::Plays { server, rung } });
+    }
+
+    /// How a message ended that is out no more.
+    fn ended(&mut self, server: ServerId, what: Asked, ending: Ending, now: Ms) {
+        match what {
+            Asked::Setup(id) => {
+                if let Some(s) = self.sess.get_mut(&id) {
+                    s.out = None;
+                    self.desk.ended(id, ending, false, now, &mut self.actions);
+                }
+            }
+            Asked::Probe => self.desk.probed(server, ending, now),
+            Asked::Other => {}
+        }
+    }
+
+    /// A session that played is over.
+    fn over(&mut self, id: SessId, ending: Ending, now: Ms) {
+        let Some(s) = self.sess.remove(&id) else { return };
+        self.desk.ended(id, ending, true, now, &mut self.actions);
+        if let Some((server, _)) = s.plays {
+            self.hang_up(server);
+        }
+    }
+
+    fn final_answer(&mut self, id: SessId, answer: Answer) {
+        let Some(s) = self.sess.remove(&id) else { return };
+        if s.owed {
+            self.dos.push(Do::Answer { id, of: s.of, answer });
+        }
+    }
+
+    /// Acts on what the module answered. An outcome that is known at once leads to the next answer.
+    fn settle(&mut self, now: Ms) {
+        let mut next = 0;
+        while next < self.actions.len() {
+            let action = self.actions[next].clone();
+            next += 1;
+            match action {
+                Action::Setup { id, server, timeout, .. } => self.setup(id, server, timeout, now),
+                Action::Rung { id, rung } => self.rung(id, rung),
+                Action::Probe { server } => self.probe(server, now),
+                Action::BusyReply { id, come_back } => self.final_answer(id, Answer::Busy { come_back }),
+                Action::TornDown { id } => self.final_answer(id, Answer::TornDown),
+                Action::Log(line) => self.dos.push(Do::Log(line)),
+                Action::AgainAt(at) => self.again_at = at,
+            }
+        }
+        self.actions.clear();
+    }
+
+    fn setup(&mut self, id: SessId, server: ServerId, timeout: Ms, now: Ms) {
+        let Some(link) = self.links.get_mut(&server) else {
+            return self.ended(server, Asked::Setup(id), Ending::NoConnection, now);
+        };
+        debug_assert!(self.sess.get(&id).is_none_or(|s| s.out.is_none()), "two SETUPs out for {id:?}");
+        let until = now + timeout;
+        match link.send(Asked::Setup(id)) {
+            Sent::On { conn, cseq } => self.out(server, conn, cseq, Asked::Setup(id), until),
+            Sent::Waits { ticket } => {
+                self.timers.set(until, Due::Waiting { server, ticket });
+                if let Some(s) = self.sess.get_mut(&id) {
+                    s.out = Some(SetupOut { server, cseq: None, until });
+                }
+            }
+            Sent::Nowhere => self.ended(server, Asked::Setup(id), Ending::NoConnection, now),
+        }
+    }
+
+    fn probe(&mut self, server: ServerId, now: Ms) {
+        let Some(link) = self.links.get_mut(&server) else { return };
+        // A probe to a box without a connection is the time to try one.
+        if matches!(link.state, State::Waiting { .. }) && link.listing != Listing::Gone {
+            self.connect(server, now);
+        }
+        let Some(link) = self.links.get_mut(&server) else { return };
+        match link.send(Asked::Probe) {
+            Sent::On { conn, cseq } => self.out(server, conn, cseq, Asked::Probe, now + self.waits.probe),
+            Sent::Waits { ticket } => {
+                self.timers.set(now + self.waits.probe, Due::Waiting { server, ticket })
+            }
+            Sent::Nowhere => self.desk.probed(server, Ending::NoConnection, now),
+        }
+    }
+
+    /// A SETUP or probe goes out under its number; its answer is waited for until then.
+    fn out(&mut self, server: ServerId, conn: u64, cseq: u32, what: Asked, until: Ms) {
+        let what = match what {
+            Asked::Setup(id) => {
+                let rung = self.desk.hand.sess.get(&id).map_or(0, |s| s.rung);
+                let Some(s) = self.sess.get_mut(&id) else { return };
+                s.out = Some(SetupOut { server, cseq: Some(cseq), until });
+                ToBox::Setup { id, of: s.of.clone(), rung }
+            }
+            Asked::Probe => ToBox::Probe,
+            Asked::Other => return,
+        };
+        self.timers.set(until, Due::Answer { server, conn, cseq });
+        self.dos.push(Do::Send { server, conn, cseq, what });
+    }
+
+    fn rung(&mut self, id: SessId, rung: u8) {
+        let Some((server, session)) = self.sess.get(&id).and_then(|s| s.plays.clone()) else { return };
+        let Some(conn) = self.links.get(&server).and_then(Link::up) else { return };
+        self.send(server, conn, Asked::Other, ToBox::Rung { session, rung });
+    }
+
+    fn send(&mut self, server: ServerId, conn: u64, asked: Asked, what: ToBox<T>) {
+        let Some(link) = self.links.get_mut(&server) else { return };
+        if let Sent::On { cseq, .. } = link.send(asked) {
+            self.dos.push(Do::Send { server, conn, cseq, what });
+        }
+    }
+
+    // ---- time ----
+
+    /// When [`Live::attend`] is to be called next at the latest.
+    pub fn next_at(&self, now: Ms) -> Ms {
+        let held_back = self.stall.holds_back(now).unwrap_or(Ms::NEG_INFINITY);
+        self.timers.next_at().map_or(self.again_at, |t| t.max(held_back).min(self.again_at))
+    }
+
+    /// Does what is due; to be called after each round of events and whenever [`Live::next_at`] has come.
+    pub fn attend(&mut self, now: Ms) {
+        if let Some(late) = self.stall.woke(now) {
+            self.dos.push(Do::Log(format!("stalled for={late:.0}")));
+        }
+        if self.stall.holds_back(now).is_none() {
+            while let Some(due) = self.timers.due(now) {
+                self.fire(due, now);
+            }
+        }
+        self.settle(now);
+        self.desk.rang(now);
+        self.desk.attend(now, &mut self.actions);
+        self.settle(now);
+        self.stall.sleeps_until(self.next_at(now));
+    }
+
+    fn fire(&mut self, due: Due, now: Ms) {
+        match due {
+            Due::Answer { server, conn, cseq } => {
+                let Some(link) = self.links.get_mut(&server).filter(|l| l.up() == Some(conn)) else { return };
+                if let Some(what) = link.give_up(cseq) {
+                    self.ended(server, what, Ending::TimedOut, now);
+                }
+            }
+            Due::Waiting { server, ticket } => {
+                if let Some(what) = self.links.get_mut(&server).and_then(|l| l.take_waiting(ticket)) {
+                    self.ended(server, what, Ending::NoConnection, now);
+                }
+            }
+            Due::Reconnect { server } => {
+                let Some(link) = self.links.get(&server) else { return };
+                let due = matches!(link.state, State::Waiting { until } if until <= now);
+                if due && link.listing != Listing::Gone {
+                    self.connect(server, now);
+                }
+            }
+            Due::Silence { server, conn } => self.silence(server, conn, now),
+        }
+    }
+
+    fn watch_silence(&mut self, server: ServerId, conn: u64) {
+        let Some(link) = self.links.get(&server) else { return };
+        self.timers.set(link.heard_at + self.waits.silence, Due::Silence { server, conn });
+    }
+
+    /// Guards against a connection whose other end is gone without a word: answers are owed, none comes, and
+    /// nothing else would ever end it. A box that stands still for longer than that loses its sessions.
+    fn silence(&mut self, server: ServerId, conn: u64, now: Ms) {
+        let Some(link) = self.links.get_mut(&server).filter(|l| l.up() == Some(conn)) else { return };
+        if !link.is_owed() {
+            link.heard_at = now;
+        }
+        if now - link.heard_at >= self.waits.silence {
+            self.dos.push(Do::Log(format!("silent server={}", server.0)));
+            self.dos.push(Do::Close { server, conn });
+            self.closed(server, conn, u32::MAX, now);
+        } else {
+            self.watch_silence(server, conn);
+        }
+    }
+}
--- /dev/null
+++ b/crates/desk/src/stall.rs
@@ -0,0 +1,63 @@
+//! Whether this process stood still (stopped, swapped out, starved), and what is not to be judged for it.
+use walnutline::ids::Ms;
+
+/// A wake-up that comes this much after it was due tells of a stall.
+const LATE: Ms = 100.0;
+/// How long time-outs then wait for what already stands in the sockets to be read.
+const GRACE: Ms = 40.0;
+
+/// After a stall, answers that came in time stand unread in the sockets while every time-out is due. Fired at
+/// once, they would set sound boxes aside and send further SETUPs beside ones that were answered. So
+/// time-outs wait a moment; a viewer's own time is not held back by this.
+#[derive(Debug, Default)]
+pub struct Stall {
+    due_at: Option<Ms>,
+    grace_until: Option<Ms>,
+}
+
+impl Stall {
+    /// The process wakes; returns how long it stood still, where it did.
+    pub fn woke(&mut self, now: Ms) -> Option<Ms> {
+        let late = now - self.due_at.take()?;
+        if late < LATE {
+            return None;
+        }
+        self.grace_until = Some(now + GRACE);
+        Some(late)
+    }
+
+    /// The process goes to sleep until then.
+    pub fn sleeps_until(&mut self, at: Ms) {
+        self.due_at = Some(at);
+    }
+
+    /// When time-outs may fire again, where they have to wait.
+    pub fn holds_back(&self, now: Ms) -> Option<Ms> {
+        self.grace_until.filter(|t| *t > now)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_a_late_wake_holds_time_outs_back() {
+        let mut s = Stall::default();
+        s.sleeps_until(1_000.0);
+        assert_eq!(s.woke(1_020.0), None);
+        assert_eq!(s.holds_back(1_020.0), None);
+        s.sleeps_until(1_100.0);
+        assert_eq!(s.woke(3_100.0), Some(2_000.0));
+        assert_eq!(s.holds_back(3_100.0), Some(3_140.0));
+        assert_eq!(s.holds_back(3_140.0), None);
+    }
+
+    #[test]
+    fn a_wake_before_its_time_is_no_stall() {
+        let mut s = Stall::default();
+        assert_eq!(s.woke(5.0), None);
+        s.sleeps_until(9_000.0);
+        assert_eq!(s.woke(40.0), None);
+    }
+}
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -1,23 +1,15 @@
-//! Many instances in one process, each with its own decisions, sessions in hand and timer.
+//! Many instances in one process, each with a desk of its own.
 use crate::wire::{Frame, Reader, Reply, HEADER};
 use std::collections::BTreeMap;
 use walnutline::fleet::{Listed, Listing};
-use walnutline::front::Front;
-use walnutline::hand::Hand;
 use walnutline::ids::{CellNo, GroupNo, KindNo, Ms, ServerId, SessId, TitleId, ZoneNo};
-use walnutline::interface::{Ending, Place, Request};
+use walnutline::interface::{Ending, Holders, Request};
 use walnutline::terms::Terms;
-
-struct Instance {
-    front: Front,
-    hand: Hand,
-    /// The earliest timer that is out.
-    bell_at: Option<Ms>,
-}
+use walnutline_desk::desk::{Action, Desk};
 
 #[derive(Default)]
 pub struct Host {
-    instances: BTreeMap<u32, Instance>,
+    instances: BTreeMap<u32, Desk>,
     pages: BTreeMap<u16, Vec<Listed>>,
 }
 
@@ -43,8 +35,10 @@
             return Err(format!("batch {}: byte {}: {extra} bytes after the last record", frame.index, r.at));
         }
         for who in touched {
-            if let Some(instance) = self.instances.get_mut(&who) {
-                instance.attend(who, frame.clock, &mut reply);
+            if let Some(desk) = self.instances.get_mut(&who) {
+                let mut actions = Vec::new();
+                desk.attend(frame.clock, &mut actions);
+                write(&mut reply, who, actions);
             }
         }
         Ok(reply.finish())
@@ -70,12 +64,12 @@
             let len = r.u32()? as usize;
             let info = std::str::from_utf8(r.take(len)?).map_err(|e| format!("settings: {e}"))?;
             let terms = Terms::parse(info).map_err(|e| format!("settings: {e}"))?;
-            let front = Front::new(terms, seed, now);
-            self.instances.insert(who, Instance { front, hand: Hand::default(), bell_at: None });
+            self.instances.insert(who, Desk::new(terms, seed, now));
             return Ok(Some(who));
         }
         let pages = &self.pages;
-        let mut known = self.instances.get_mut(&who);
+        let known = self.instances.get_mut(&who);
+        let mut actions = Vec::new();
         match code {
             2 => {
                 let (_revision, page, form) = (r.u64()?, r.u16()?, r.u8()?);
@@ -86,8 +80,8 @@
                     let list = pages.get(&page).ok_or_else(|| format!("list {page} was never sent"))?;
                     if let Some(i) = known {
                         match form {
-                            0 => list.iter().for_each(|l| i.front.listed(l.clone())),
-                            _ => i.front.listed_all(list.clone()),
+                            0 => list.iter().for_each(|l| i.listed(l.clone())),
+                            _ => i.listed_all(list.clone()),
                         }
                     }
                 }
@@ -99,16 +93,14 @@
                 let (_estimate, _bits, _key, _tenant) = (r.f64()?, r.u8()?, r.u64()?, r.u32()?);
                 let (title, home, left, span) = (r.u64()?, r.f32()?, r.f64()?, r.f32()?);
                 if let Some(i) = known {
-                    let request = i.request(group, title, home, span, top, left)?;
-                    i.front.taken(&mut i.hand, id, request, now);
-                    let place = i.front.place(&mut i.hand, id, now);
-                    answer(reply, who, id, place);
+                    let request = request(i, group, title, home, span, top, left)?;
+                    i.asked(id, request, now, &mut actions);
                 }
             }
             4 => {
                 let (id, _leg, _server, _took) = (SessId(r.u64()?), r.u16()?, r.u32()?, r.f64()?);
                 if let Some(i) = known {
-                    i.front.started(&mut i.hand, id, now);
+                    i.started(id, now);
                 }
             }
             5 => {
@@ -117,26 +109,20 @@
                 let load = values(r)?;
                 let ending = ending(how)?;
                 if let Some(i) = known {
-                    if over != 0 {
-                        if let Some(s) = i.hand.sess.get_mut(&id) {
-                            s.answered = true;
-                        }
-                    }
-                    let place = i.front.after(&mut i.hand, id, ending, now);
-                    i.front.report(&mut i.hand, server, &load, now);
-                    answer(reply, who, id, place);
+                    i.ended(id, ending, over != 0, now, &mut actions);
+                    i.report(server, &load, now);
                 }
             }
             6 => {
                 let id = SessId(r.u64()?);
                 if let Some(i) = known {
-                    i.front.left(&mut i.hand, id);
+                    i.left(id);
                 }
             }
             7 => {
                 let _name = r.u64()?;
-                if let Some(i) = &mut known {
-                    i.bell_at = i.bell_at.filter(|t| *t > now);
+                if let Some(i) = known {
+                    i.rang(now);
                 }
             }
             8 => {
@@ -144,8 +130,8 @@
                 let load = values(r)?;
                 let ending = ending(how)?;
                 if let Some(i) = known {
-                    i.front.report(&mut i.hand, server, &load, now);
-                    i.front.probed(&mut i.hand, server, ending, now);
+                    i.report(server, &load, now);
+                    i.probed(server, ending, now);
                 }
             }
             9 => {
@@ -161,8 +147,8 @@
                 let (home, span, top, _bits) = (r.f32()?, r.f32()?, r.f32()?, r.u8()?);
                 let server = ServerId(r.u32()?);
                 if let Some(i) = known {
-                    let request = i.request(group, title, home, span, top, left)?;
-                    i.front.under_way(&mut i.hand, id, request, server, now);
+                    let request = request(i, group, title, home, span, top, left)?;
+                    i.under_way(id, request, server, now);
                 }
             }
             _ => {
@@ -170,79 +156,69 @@
                 let (_leg, x) = (r.u16()?, r.f32()? as f64);
                 if let Some(i) = known {
                     match sort {
-                        1 => i.front.share_heard(&mut i.hand, server, x, now),
-                        2 => i.front.rung_told(&mut i.hand, id, x as u8),
-                        3 => i.front.link_heard(&mut i.hand, server, x, now),
-                        4 => i.front.uplink_heard(&mut i.hand, server, x, now),
+                        1 => i.share_heard(server, x, now),
+                        2 => i.rung_told(id, x as u8),
+                        3 => i.link_heard(server, x, now),
+                        4 => i.uplink_heard(server, x, now),
                         _ => return Err(format!("unknown kind of note {sort}")),
                     }
                 }
             }
         }
+        write(reply, who, actions);
         Ok(Some(who))
     }
 }
 
-impl Instance {
-    fn request(
-        &self,
-        group: u16,
-        title: u64,
-        home: f32,
-        span: f32,
-        top: f32,
-        left: Ms,
-    ) -> Result<Request, String> {
-        if group as usize >= self.front.terms.groups.len() {
-            return Err(format!("class {group} is not in the settings"));
-        }
-        Ok(Request {
-            group: GroupNo(group),
-            title: TitleId(title),
-            home: CellNo(home as u32),
-            span: span as u32,
-            top: top as u8,
-            left,
-        })
-    }
-
-    /// Does what is due and sees to the timer.
-    fn attend(&mut self, who: u32, now: Ms, reply: &mut Reply) {
-        let due = self.front.wait(&mut self.hand, now);
-        for (id, rung) in due.rungs {
-            reply.record(6, who).put(&id.0.to_le_bytes()).put(&[rung]);
-        }
-        for server in due.probes {
-            reply.record(7, who).put(&server.0.to_le_bytes());
-        }
-        for id in due.place {
-            let place = self.front.place(&mut self.hand, id, now);
-            answer(reply, who, id, place);
-        }
-        for line in due.log {
-            reply.record(11, who).put(&(line.len() as u16).to_le_bytes()).put(line.as_bytes());
-        }
-        if self.bell_at.is_none_or(|t| t > due.again_at) {
-            self.bell_at = Some(due.again_at);
-            reply.record(13, who).put(&0u64.to_le_bytes()).put(&due.again_at.to_le_bytes());
-        }
+fn request(
+    desk: &Desk,
+    group: u16,
+    title: u64,
+    home: f32,
+    span: f32,
+    top: f32,
+    left: Ms,
+) -> Result<Request, String> {
+    if group as usize >= desk.front.terms.groups.len() {
+        return Err(format!("class {group} is not in the settings"));
     }
+    Ok(Request {
+        group: GroupNo(group),
+        title: TitleId(title),
+        holders: Holders::Cells { home: CellNo(home as u32), span: span as u32 },
+        top: top as u8,
+        left,
+    })
 }
 
-fn answer(reply: &mut Reply, who: u32, id: SessId, place: Place) {
-    let id = id.0.to_le_bytes();
-    match place {
-        Place::Setup { server, rung, timeout } => {
-            reply.record(6, who).put(&id).put(&[rung]);
-            reply.record(4, who).put(&id).put(&timeout.to_le_bytes()).put(&server.0.to_le_bytes());
-        }
-        Place::BusyReply { come_back } => {
-            reply.record(2, who).put(&id).put(&come_back.unwrap_or(0.0).to_le_bytes());
-        }
-        Place::TornDown => {
-            reply.record(8, who).put(&id);
+fn write(reply: &mut Reply, who: u32, actions: Vec<Action>) {
+    for action in actions {
+        match action {
+            Action::Setup { id, server, rung, timeout } => {
+                let id = id.0.to_le_bytes();
+                reply.record(6, who).put(&id).put(&[rung]);
+                reply.record(4, who).put(&id).put(&timeout.to_le_bytes()).put(&server.0.to_le_bytes());
+            }
+            Action::Rung { id, rung } => {
+                reply.record(6, who).put(&id.0.to_le_bytes()).put(&[rung]);
+            }
+            Action::Probe { server } => {
+                reply.record(7, who).put(&server.0.to_le_bytes());
+            }
+            Action::BusyReply { id, come_back } => {
+                let come_back = come_back.unwrap_or(0.0).to_le_bytes();
+                reply.record(2, who).put(&id.0.to_le_bytes()).put(&come_back);
+            }
+            Action::TornDown { id } => {
+                reply.record(8, who).put(&id.0.to_le_bytes());
+            }
+            Action::Log(line) => {
+                reply.record(11, who).put(&(line.len() as u16).to_le_bytes()).put(line.as_bytes());
+            }
+            Action::AgainAt(t) => {
+                reply.record(13, who).put(&0u64.to_le_bytes()).put(&t.to_le_bytes());
+            }
         }
-        Place::NotYet | Place::Nothing => {}
     }
 }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -220,7 +220,7 @@
         let loads = hand.loads(&self.terms);
         let ready = self.fleet.servers.values().filter(|r| r.listed.listing == Listing::Ready);
         let able: Vec<ServerId> = ready
-            .filter(|r| self.terms.holds(r.listed.cell, s.home, s.span) && self.may_run(s, r, now))
+            .filter(|r| self.terms.holds(&r.listed, &s.holders) && self.may_run(s, r, now))
             .map(|r| r.listed.id)
             .filter(|r| self.has_room(hand, &loads, *r, s))
             .collect();
--- a/src/front.rs
+++ b/src/front.rs
@@ -98,8 +98,7 @@
         Sess {
             group: r.group,
             title: r.title,
-            home: r.home,
-            span: r.span,
+            holders: r.holders,
             top: r.top.min(g.top).max(g.floor),
             came: now,
             until: now + r.left,
--- a/src/hand.rs
+++ b/src/hand.rs
@@ -1,5 +1,6 @@
 //! The sessions that a front has in hand: requests not yet answered, SETUPs out, sessions playing.
-use crate::ids::{CellNo, GroupNo, Ms, ServerId, SessId, TitleId};
+use crate::ids::{GroupNo, Ms, ServerId, SessId, TitleId};
+use crate::interface::Holders;
 use crate::terms::Terms;
 use std::collections::BTreeMap;
 
@@ -7,9 +8,7 @@
 pub struct Sess {
     pub group: GroupNo,
     pub title: TitleId,
-    /// First cell that holds the title, and how many in a row do.
-    pub home: CellNo,
-    pub span: u32,
+    pub holders: Holders,
     /// Highest rung that the viewer can use.
     pub top: u8,
     pub came: Ms,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,5 +1,6 @@
 //! What the calls of the decisions take and return: plain values.
 use crate::ids::{CellNo, GroupNo, Ms, ServerId, SessId, TitleId};
+use std::sync::Arc;
 
 /// Where a session goes.
 #[derive(Debug, Clone, PartialEq)]
@@ -48,13 +49,30 @@
     pub again_at: Ms,
 }
 
+/// The servers that hold a title, as a request tells them. Both forms enter the same choice.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Holders {
+    /// Those in `span` cells in a row from `home`.
+    Cells { home: CellNo, span: u32 },
+    /// Those named, ascending by id: see [`Holders::named`].
+    Named(Arc<[ServerId]>),
+}
+
+impl Holders {
+    /// Named holders in any order; one named twice counts once.
+    pub fn named(mut ids: Vec<ServerId>) -> Holders {
+        ids.sort_unstable();
+        ids.dedup();
+        Holders::Named(ids.into())
+    }
+}
+
 /// A request as it comes in.
 #[derive(Debug, Clone)]
 pub struct Request {
     pub group: GroupNo,
     pub title: TitleId,
-    pub home: CellNo,
-    pub span: u32,
+    pub holders: Holders,
     pub top: u8,
     /// How long the viewer waits.
     pub left: Ms,
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -1,5 +1,7 @@
 //! The terms that a deployment states when a front starts. Absent options stay `None` or zero as told.
+use crate::fleet::Listed;
 use crate::ids::{CellNo, GroupNo, Ms, RackNo};
+use crate::interface::Holders;
 use std::collections::BTreeMap;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -90,8 +92,14 @@
         RackNo(cell.0 % self.racks)
     }
 
-    pub fn holds(&self, cell: CellNo, home: CellNo, span: u32) -> bool {
-        (cell.0 % self.cells + self.cells - home.0 % self.cells) % self.cells < span
+    /// Whether a server is among the holders.
+    pub fn holds(&self, of: &Listed, holders: &Holders) -> bool {
+        match holders {
+            Holders::Cells { home, span } => {
+                (of.cell.0 % self.cells + self.cells - home.0 % self.cells) % self.cells < *span
+            }
+            Holders::Named(ids) => ids.binary_search(&of.id).is_ok(),
+        }
     }
 
     /// Reads `path=value` lines; names the path that is missing or unreadable.
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -26,7 +26,7 @@
     let three = f.fleet.servers.get_mut(&ServerId(3)).unwrap();
     three.link = Some(Seen { value: link, at: NOW, own: 0.0 });
     three.streams = Some(Seen { value: streams, at: NOW, own: 0.0 });
-    let mut h = hand([Sess { home: CellNo(1), span: 3, ..sess() }]);
+    let mut h = hand([Sess { holders: cells(1, 3), ..sess() }]);
     f.fleet.servers.get_mut(&ServerId(2)).unwrap().listed.listing = Listing::Gone;
     went_to(&f.place(&mut h, ONE, NOW))
 }
@@ -41,7 +41,7 @@
     let unheard = f.fleet.servers.get_mut(&ServerId(3)).unwrap();
     (unheard.link, unheard.streams) = (None, None);
     // Rack 1 holds the server of use 0.7 and the one not heard from: under a half on average.
-    let mut h = hand([Sess { home: CellNo(3), span: 1, ..sess() }]);
+    let mut h = hand([Sess { holders: cells(3, 1), ..sess() }]);
     let place = f.place(&mut h, ONE, NOW);
     assert!(matches!(place, Place::Setup { rung: 2, .. }), "{place:?}");
 }
@@ -68,7 +68,7 @@
     let mut f = front(terms());
     let own = f.terms.rate(GroupNo(0), rung);
     f.fleet.servers.get_mut(&ServerId(0)).unwrap().link = Some(Seen { value: used, at: NOW, own });
-    let mut h = hand([Sess { span: 1, ..sess() }, playing(0, rung, 0.0)]);
+    let mut h = hand([Sess { holders: cells(0, 1), ..sess() }, playing(0, rung, 0.0)]);
     went_to(&f.place(&mut h, ONE, NOW)).is_some()
 }
 
@@ -77,7 +77,7 @@
 fn nothing_new_goes_to_a_server_that_leaves(listing: Listing) {
     let mut f = front(terms());
     f.fleet.servers.get_mut(&ServerId(1)).unwrap().listed.listing = listing;
-    let mut h = hand([Sess { home: CellNo(1), span: 1, ..sess() }]);
+    let mut h = hand([Sess { holders: cells(1, 1), ..sess() }]);
     assert_eq!(f.place(&mut h, ONE, NOW), Place::BusyReply { come_back: Some(500.0) });
     assert!(h.sess.is_empty());
 }
@@ -112,7 +112,7 @@
     let s = f.fleet.servers.get_mut(&ServerId(0)).unwrap();
     (s.link, s.listed.started) = (None, started);
     f.terms.fronts = 1;
-    match f.place(&mut hand([Sess { span: 1, ..sess() }]), ONE, NOW) {
+    match f.place(&mut hand([Sess { holders: cells(0, 1), ..sess() }]), ONE, NOW) {
         Place::Setup { rung, .. } => rung,
         other => panic!("{other:?}"),
     }
@@ -123,7 +123,7 @@
 fn a_full_link_is_not_empty_once_this_front_has_left_it(heard: f64) -> Option<u32> {
     let mut f = front(terms());
     f.fleet.servers.get_mut(&ServerId(0)).unwrap().link = Some(Seen { value: heard, at: NOW, own: 400.0 });
-    went_to(&f.place(&mut hand([Sess { span: 1, ..sess() }, playing(3, 0, 0.0)]), ONE, NOW))
+    went_to(&f.place(&mut hand([Sess { holders: cells(0, 1), ..sess() }, playing(3, 0, 0.0)]), ONE, NOW))
 }
 
 #[test_case(100.0 => 0.6; "started since: 400 of 2000 kB more")]
@@ -176,7 +176,7 @@
 #[test_case(Ending::NoConnection; "no connection")]
 fn a_failed_setup_goes_on_to_another_holder(ending: Ending) {
     let mut f = front(terms());
-    let out = Sess { at: Some(ServerId(2)), setups: 1, home: CellNo(2), span: 2, ..sess() };
+    let out = Sess { at: Some(ServerId(2)), setups: 1, holders: cells(2, 2), ..sess() };
     let place = f.after(&mut hand([out]), ONE, ending, NOW);
     assert_eq!(went_to(&place), Some(3));
     assert!(f.fleet.servers[&ServerId(2)].aside_until > NOW);
@@ -211,7 +211,7 @@
         other.listing = Listing::Gone;
     }
     f.fleet.servers.get_mut(&ServerId(3)).unwrap().listed.listing = Listing::Draining;
-    let out = Sess { at: Some(ServerId(3)), setups: 1, home: CellNo(2), span: 2, ..sess() };
+    let out = Sess { at: Some(ServerId(3)), setups: 1, holders: cells(2, 2), ..sess() };
     f.after(&mut hand([out]), ONE, ending, NOW)
 }
 
@@ -272,7 +272,7 @@
     for ms in (0..9_990).step_by(10) {
         let now = NOW + ms as f64;
         for f in &mut all {
-            let mut h = hand([Sess { span: 1, came: now, until: now + 3_000.0, ..sess() }]);
+            let mut h = hand([Sess { holders: cells(0, 1), came: now, until: now + 3_000.0, ..sess() }]);
             if went_to(&f.place(&mut h, ONE, now)).is_some() {
                 sent.push(now);
             }
@@ -290,7 +290,7 @@
 fn a_server_seen_to_die_counts_as_cold_when_it_answers_again(ending: Ending) {
     let mut f = front(walnutline::terms::Terms { cold: Some(cold()), ..terms() });
     f.terms.kind_streams = vec![2.0];
-    let out = Sess { at: Some(ServerId(0)), setups: 1, span: 1, ..sess() };
+    let out = Sess { at: Some(ServerId(0)), setups: 1, holders: cells(0, 1), ..sess() };
     let place = f.after(&mut hand([out]), ONE, ending, NOW);
     assert!(matches!(place, Place::NotYet | Place::BusyReply { .. }), "{place:?}");
 }
@@ -329,7 +329,7 @@
 fn a_full_link_without_own_sessions_is_judged_by_the_height_of_own_ones(rung: u8) -> bool {
     let mut f = front(terms());
     f.fleet.servers.get_mut(&ServerId(0)).unwrap().link = Some(Seen { value: 0.97, at: NOW, own: 0.0 });
-    let mut h = hand([Sess { span: 1, ..sess() }, playing(3, rung, 0.0)]);
+    let mut h = hand([Sess { holders: cells(0, 1), ..sess() }, playing(3, rung, 0.0)]);
     went_to(&f.place(&mut h, ONE, NOW)).is_some()
 }
 
@@ -341,7 +341,7 @@
     f.fleet.servers.values_mut().for_each(|s| s.link = None);
     let rack = f.fleet.racks.entry(RackNo(0)).or_default();
     rack.uplink = Some(Seen { value: uplink, at: NOW - ago, own: 0.0 });
-    let mut h = hand([Sess { span: 1, ..sess() }, playing(1, 0, 0.0)]);
+    let mut h = hand([Sess { holders: cells(0, 1), ..sess() }, playing(1, 0, 0.0)]);
     f.place(&mut h, ONE, NOW) == Place::BusyReply { come_back: Some(500.0) }
 }
 
@@ -350,7 +350,7 @@
     let mut f = front(terms());
     f.fleet.servers.values_mut().for_each(|s| s.link.as_mut().unwrap().value = 0.1);
     f.fleet.racks.entry(RackNo(0)).or_default().uplink = Some(Seen { value: 0.95, at: NOW, own: 0.0 });
-    let place = f.place(&mut hand([Sess { home: CellNo(1), span: 1, ..sess() }]), ONE, NOW);
+    let place = f.place(&mut hand([Sess { holders: cells(1, 1), ..sess() }]), ONE, NOW);
     assert!(matches!(place, Place::Setup { rung: 0, .. }), "{place:?}");
 }
 
@@ -384,10 +384,10 @@
 fn a_busy_reply_counts_for_a_while(ago: Ms) -> Option<u32> {
     let mut f = front(terms());
     f.fleet.servers.get_mut(&ServerId(0)).unwrap().link.as_mut().unwrap().value = 0.1;
-    let out = Sess { at: Some(ServerId(0)), setups: 1, span: 2, ..sess() };
+    let out = Sess { at: Some(ServerId(0)), setups: 1, holders: cells(0, 2), ..sess() };
     f.after(&mut hand([out]), ONE, Ending::BusyReplied, NOW - ago);
     f.fleet.servers.values_mut().for_each(|s| s.link.as_mut().unwrap().at = NOW);
-    went_to(&f.place(&mut hand([Sess { span: 2, ..sess() }]), ONE, NOW))
+    went_to(&f.place(&mut hand([Sess { holders: cells(0, 2), ..sess() }]), ONE, NOW))
 }
 
 #[test_case(0 => 2; "calm")]
@@ -396,7 +396,7 @@
     let mut f = front(walnutline::terms::Terms { fronts: 4, ..terms() });
     f.fleet.servers.values_mut().for_each(|s| s.link.as_mut().unwrap().value = 0.3);
     let lately = |_| Sess { changed: NOW - 100.0, ..playing(3, 2, NOW) };
-    let mut h = hand([Sess { span: 1, ..sess() }].into_iter().chain((0..came).map(lately)));
+    let mut h = hand([Sess { holders: cells(0, 1), ..sess() }].into_iter().chain((0..came).map(lately)));
     match f.place(&mut h, ONE, NOW) {
         Place::Setup { rung, .. } => rung,
         other => panic!("{other:?}"),
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 use walnutline::front::Front;
 use walnutline::hand::{Hand, Sess};
 use walnutline::ids::*;
+use walnutline::interface::Holders;
 use walnutline::terms::{Budget, ColdTerms, Column, Group, Repeat, Terms};
 
 pub const NOW: Ms = 100_000.0;
@@ -66,8 +67,7 @@
     Sess {
         group: GroupNo(0),
         title: TitleId(9),
-        home: CellNo(0),
-        span: 4,
+        holders: cells(0, 4),
         top: 2,
         came: NOW,
         until: NOW + 3_000.0,
@@ -87,6 +87,10 @@
     }
 }
 
+pub fn cells(home: u32, span: u32) -> Holders {
+    Holders::Cells { home: CellNo(home), span }
+}
+
 pub fn playing(at: u32, rung: u8, came: Ms) -> Sess {
     Sess { at: Some(ServerId(at)), playing: true, answered: true, rung, came, setups: 1, ..sess() }
 }
