Codecs, letting in and settings of the live front: tokens, proofs, MPD, RTSP 2.0, list, KDL

The live front needs them before its sockets. crates/gate decides who is let in, on plain values: keys in force by id, verdicts on a Common Access Token and its proof of possession, proofs used once within bounded memory. crates/dash reads and writes tokens (CWT in COSE_Sign1), proofs (DPoP) and MPDs; crates/control RTSP 2.0 messages, the list and its event stream; crates/settings a KDL document, every fault with line and column.

Property tests: rubbish and nearly right bytes are refused without a panic in each reader; what was written is read back wherever the stream is cut; a proof is never let in twice within its window.

--- /dev/null
+++ b/crates/settings/src/tests.rs
@@ -0,0 +1,107 @@
+use super::*;
+use std::path::PathBuf;
+
+const GOOD: &str = r#"listen "127.0.0.1:0"
+list "http://127.0.0.1:9000/boxes"
+fronts 3
+ladder {
+    rung kb=200 utility=0.3
+    rung kb=450.5 utility=1
+}
+service-group "council-notice" start-target=1000 setup-timeout=4000 utility=3 repeat="safe"
+service-group "board-loop" start-target=1500 setup-timeout=5000 utility=1 repeat="keyed" window=3000 floor=1
+kind "box" streams=40
+links link-kb=4000 uplink-kb=16000
+reports via="probe" delay=800 {
+    columns "streams" "link"
+}
+setups most=3 {
+    budget free=5 share=0.2 span=10000
+}
+cold lasts=12000 from=0.4 multiple=2 span=1000
+come-back most=800
+waits connect=500 probe=300 silence=30000 way-back=60
+viewers connections=1000 header-bytes=8192 headers=64 header-time=5000 idle=60000 pipelined=4 write-time=5000
+tokens proof-age=10000 clock-skew=2000 proofs=100000 {
+    issuer-key "k1" file="k1.pub"
+    session-key "f1" file="f1.secret" until="2031-01-01T00:00:00Z"
+}
+manifest segment=500 update=2000 token-lasts=3600000
+"#;
+
+/// A folder with the keys that the document names.
+fn folder(name: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("walnutline-settings-{}-{name}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let key = SigningKey::from_bytes(&[3; 32]);
+    let text = |bytes: &[u8]| walnutline_dash::to_base64(bytes) + "\n";
+    std::fs::write(folder.join("k1.pub"), text(key.verifying_key().as_bytes())).unwrap();
+    std::fs::write(folder.join("f1.secret"), text(key.as_bytes())).unwrap();
+    folder
+}
+
+fn faults(name: &str, text: &str) -> Vec<String> {
+    let folder = folder(name);
+    let result = parse("f.kdl", text, &folder);
+    std::fs::remove_dir_all(folder).unwrap();
+    result.err().unwrap_or_default().iter().map(Fault::to_string).collect()
+}
+
+#[test]
+fn a_good_document_is_read_whole() {
+    let folder = folder("good");
+    let d = parse("f.kdl", GOOD, &folder).unwrap_or_else(|f| panic!("{f:?}"));
+    std::fs::remove_dir_all(folder).unwrap();
+    assert_eq!(d.groups[1], ("board-loop".to_owned(), 5_000.0));
+    assert_eq!(d.terms.rung_kb, [200.0, 450.5]);
+    assert_eq!((d.terms.groups[1].floor, d.terms.groups[1].top), (1, 1));
+    assert_eq!(d.terms.budget.map(|b| b.free), Some(5.0));
+    assert!(d.terms.probe_fed && d.terms.tells_return);
+    assert_eq!(d.list_path, "/boxes");
+    assert!(d.session.signer(1.9e12).is_some() && d.session.signer(2e12).is_none());
+}
+
+#[test]
+fn every_fault_is_told_with_its_place() {
+    let cases = [
+        ("fronts 3", "fronts 0", "f.kdl:3:8: fronts: 0 is not between 1 and 1000000"),
+        ("fronts 3", "fronts 2.5", "f.kdl:3:8: fronts: 2.5 is not a whole number"),
+        ("kb=450.5", "kb=100", "f.kdl:6:13: rung: its rate must be above the one before"),
+        ("repeat=\"safe\"", "repeat=\"often\"", "f.kdl:8:86: repeat: \"often\" is none of"),
+        ("\"streams\" \"link\"", "\"streams\" \"lnk\"", "f.kdl:13:23: columns: \"lnk\" is none of"),
+        ("127.0.0.1:0\"", "here\"", "f.kdl:1:8: listen: \"here\" is not address:port"),
+        ("file=\"k1.pub\"", "file=\"no.pub\"", "f.kdl:23:26: issuer-key: file"),
+        ("2031-01-01T00:00:00Z", "soon", "f.kdl:24:45: until: \"soon\""),
+        ("window=3000", "", "f.kdl:9:78: repeat: keyed needs a window"),
+        ("floor=1", "floor=7", "f.kdl:9:"),
+        (
+            "\"board-loop\"",
+            "\"council-notice\"",
+            "f.kdl:9:15: service-group: \"council-notice\" is named twice",
+        ),
+    ];
+    for (n, (from, to, wanted)) in cases.into_iter().enumerate() {
+        assert!(GOOD.contains(from), "{from}");
+        let told = faults(&format!("case{n}"), &GOOD.replacen(from, to, 1));
+        assert!(told.iter().any(|t| t.starts_with(wanted)), "{to}: wanted {wanted:?}, told {told:?}");
+    }
+}
+
+#[test]
+fn what_is_missing_unknown_or_no_kdl_is_told() {
+    for (n, (from, to, wanted)) in [
+        ("setups most=3", "setups", "most"),
+        ("manifest segment=500", "manifest segment=500 colour=\"red\"", "colour"),
+        ("come-back", "go-back", "go-back"),
+        ("ladder {", "ladder {{", "f.kdl:4:"),
+        ("fronts 3", "fronts \"many\"", "f.kdl:3:8:"),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let told = faults(&format!("missing{n}"), &GOOD.replacen(from, to, 1));
+        assert!(told.iter().any(|t| t.contains(wanted)), "{to}: {told:?}");
+    }
+    let two = GOOD.replacen("fronts 3", "fronts 0", 1).replacen("most=3", "most=0", 1);
+    assert_eq!(faults("two", &two).len(), 2);
+}
