--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,1 +1,63 @@
-fn main() {}
+//! The `walnutline` command.
+mod front;
+mod token;
+
+use clap::{Parser, Subcommand};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(name = "walnutline", version, about = "A session front for media boxes, and its rehearsal kit")]
+struct Cli {
+    /// Log lines as JSON instead of text.
+    #[arg(long, global = true)]
+    json_log: bool,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run a front until SIGTERM; SIGHUP takes its keys anew from the document.
+    Front(front::Args),
+    /// Check a settings document and tell every fault with its place.
+    Check { file: PathBuf },
+    /// Make keys and tokens.
+    #[command(subcommand)]
+    Token(token::Command),
+    /// Play a script of trouble on a depot of stand-ins and judge it from the sockets.
+    Rehearse(walnutline_rehearsal::play::Args),
+    /// Judge the records of a rehearsal again.
+    Audit { records: PathBuf },
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    log(cli.json_log);
+    let done = match cli.command {
+        Command::Front(args) => front::run(args),
+        Command::Check { file } => front::check(&file),
+        Command::Token(command) => token::run(command),
+        Command::Rehearse(args) => walnutline_rehearsal::play::run(args),
+        Command::Audit { records } => walnutline_rehearsal::audit::run(&records),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("walnutline: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Logs go to standard error; `RUST_LOG` narrows or widens them.
+fn log(json: bool) {
+    let filter = tracing_subscriber::EnvFilter::try_from_default_env();
+    let filter = filter.unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info,may=warn"));
+    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    if json {
+        log.json().init();
+    } else {
+        log.init();
+    }
+}
--- a/crates/dash/src/token.rs
+++ b/crates/dash/src/token.rs
@@ -112,6 +112,18 @@
     read_session(&map).map_err(Refusal::TokenMalformed)
 }
 
+/// What a session's token says, unchecked: for those who hold no key and give no leave by it.
+pub fn peek_session(token: &str) -> Option<SessionClaims> {
+    let bytes = from_base64(token).ok()?;
+    nested_at_most(&bytes, DEEPEST).ok()?;
+    let payload = CoseSign1::from_tagged_slice(&bytes).ok()?.payload?;
+    nested_at_most(&payload, DEEPEST).ok()?;
+    match Value::from_slice(&payload) {
+        Ok(Value::Map(map)) => read_session(&map).ok(),
+        _ => None,
+    }
+}
+
 fn verified(
     token: &str,
     key: impl Fn(&[u8]) -> Result<VerifyingKey, Miss>,
--- a/crates/desk/src/live.rs
+++ b/crates/desk/src/live.rs
@@ -282,8 +282,9 @@
         self.dos.push(Do::Connect { server, conn, address: link.address });
     }
 
-    pub fn connected(&mut self, server: ServerId, conn: u64, now: Ms) {
-        let Some(link) = self.links.get_mut(&server).filter(|l| l.is_current(conn)) else { return };
+    /// A connection opened; `false` where it is not wanted any more.
+    pub fn connected(&mut self, server: ServerId, conn: u64, now: Ms) -> bool {
+        let Some(link) = self.links.get_mut(&server).filter(|l| l.is_current(conn)) else { return false };
         link.heard_at = now;
         for (what, cseq) in link.connected(conn) {
             let until = match &what {
@@ -295,6 +296,7 @@
         }
         self.watch_silence(server, conn);
         self.settle(now);
+        true
     }
 
     /// The connection could not be opened in time.
--- /dev/null
+++ b/crates/front/src/boxes.rs
@@ -0,0 +1,202 @@
+//! Control connections to boxes: one coroutine reads, one writes. They turn messages to bytes and back; what a
+//! message means for a session is the desk's to say.
+use crate::hub::{News, Ticket};
+use crate::Shared;
+use may::net::TcpStream;
+use may::sync::mpsc;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use walnutline::ids::ServerId;
+use walnutline_control::rtsp::{self, Ask, Message, Reader};
+use walnutline_desk::live::{FromBox, Outcome, Report, ToBox, Waits};
+
+pub enum Out {
+    Ask {
+        cseq: u32,
+        what: ToBox<Ticket>,
+    },
+    /// The answer to a message of the box.
+    Reply {
+        cseq: u32,
+        status: u16,
+    },
+    /// The connection is to be closed.
+    Close,
+}
+
+/// How far writing has come. Both sides look at both: what the reader reports as not begun is never written
+/// after that.
+#[derive(Default)]
+struct Progress {
+    begun: AtomicU32,
+    closed: AtomicBool,
+}
+
+pub fn connect(shared: Arc<Shared>, server: ServerId, conn: u64, address: SocketAddr, waits: Waits) {
+    let run = move || {
+        let within = Duration::from_secs_f64(waits.connect / 1_000.0);
+        let opened = TcpStream::connect_timeout(&address, within).and_then(|s| {
+            s.set_nodelay(true)?;
+            s.set_write_timeout(Some(Duration::from_secs_f64(waits.silence / 1_000.0)))?;
+            Ok((s.try_clone()?, s))
+        });
+        let (to_write, to_read) = match opened {
+            Ok(halves) => halves,
+            Err(e) => {
+                tracing::debug!(server = server.0, %address, "no control connection: {e}");
+                let _ = shared.hub.send(News::NotConnected { server, conn });
+                return;
+            }
+        };
+        let (out, outs) = mpsc::channel();
+        let progress = Arc::new(Progress::default());
+        let _ = shared.hub.send(News::Connected { server, conn, out: out.clone() });
+        let (s, p) = (shared.clone(), progress.clone());
+        spawn(move || write(&s, server, address, to_write, outs, &p));
+        let why = read(&shared, server, conn, to_read, out);
+        progress.closed.store(true, Ordering::SeqCst);
+        let begun = progress.begun.load(Ordering::SeqCst);
+        tracing::debug!(server = server.0, conn, begun, "control connection closed: {why}");
+        let _ = shared.hub.send(News::Closed { server, conn, begun });
+    };
+    spawn(run);
+}
+
+/// Starts a coroutine. One that is not started for want of memory is logged, not passed over.
+pub fn spawn(run: impl FnOnce() + Send + 'static) {
+    // Sound here: coroutines of this crate keep no thread-local state across a point where they yield.
+    if let Err(e) = unsafe { may::coroutine::Builder::new().spawn(run) } {
+        tracing::error!("coroutine not started: {e}");
+    }
+}
+
+fn write(
+    shared: &Shared,
+    server: ServerId,
+    address: SocketAddr,
+    mut stream: TcpStream,
+    outs: mpsc::Receiver<Out>,
+    progress: &Progress,
+) {
+    let host = address.to_string();
+    while let Ok(first) = outs.recv() {
+        let mut bytes = Vec::new();
+        for out in std::iter::once(first).chain(outs.try_iter().take(63)) {
+            let message = match out {
+                Out::Close => {
+                    let _ = stream.shutdown(Shutdown::Both);
+                    return;
+                }
+                Out::Reply { cseq, status } => {
+                    Message::Reply { cseq, status, session: None, figures: Vec::new() }
+                }
+                Out::Ask { cseq, what } => {
+                    progress.begun.fetch_max(cseq, Ordering::SeqCst);
+                    if progress.closed.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    let Some(ask) = ask(shared, server, what) else {
+                        // Nothing may be left out of the numbers that the box sees.
+                        tracing::error!("no session key is in force: connection to box given up");
+                        let _ = stream.shutdown(Shutdown::Both);
+                        return;
+                    };
+                    Message::Ask { cseq, ask }
+                }
+            };
+            match rtsp::write(&message, &host) {
+                Ok(b) => bytes.extend(b),
+                Err(e) => tracing::error!(server = server.0, "{e}"),
+            }
+        }
+        if stream.write_all(&bytes).is_err() {
+            break;
+        }
+    }
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+fn ask(shared: &Shared, server: ServerId, what: ToBox<Ticket>) -> Option<Ask> {
+    Some(match what {
+        ToBox::Setup { id, of, rung } => Ask::Setup {
+            title: of.title.clone(),
+            group: shared.groups[of.group].name.clone(),
+            rung,
+            front_session: id.0,
+            token: of.session_token(shared, server, shared.clock.now())?,
+        },
+        ToBox::Probe => Ask::Get([rtsp::STREAMS, rtsp::LINK, rtsp::UPLINK].map(str::to_owned).to_vec()),
+        ToBox::Rung { session, rung } => {
+            Ask::Set { session: Some(session), figures: vec![(rtsp::RUNG.to_owned(), f64::from(rung))] }
+        }
+        ToBox::Teardown { session } => Ask::Teardown { session },
+    })
+}
+
+/// Reads until the connection ends; says why it did.
+fn read(
+    shared: &Shared,
+    server: ServerId,
+    conn: u64,
+    mut stream: TcpStream,
+    out: mpsc::Sender<Out>,
+) -> String {
+    let (mut reader, mut bytes) = (Reader::default(), vec![0; 8_192]);
+    loop {
+        match stream.read(&mut bytes) {
+            Ok(0) => return "its end".into(),
+            Ok(n) => reader.push(&bytes[..n]),
+            Err(e) => return e.to_string(),
+        }
+        loop {
+            match reader.next_message() {
+                Ok(None) => break,
+                Ok(Some(message)) => {
+                    if let Some(told) = told(message, &out) {
+                        let _ = shared.hub.send(News::Told { server, conn, told });
+                    }
+                }
+                Err(bad) => {
+                    tracing::warn!(server = server.0, "{bad}");
+                    let _ = stream.shutdown(Shutdown::Both);
+                    return bad.to_string();
+                }
+            }
+        }
+    }
+}
+
+fn told(message: Message, out: &mpsc::Sender<Out>) -> Option<FromBox> {
+    match message {
+        Message::Reply { cseq, status, session, figures } => {
+            let outcome = match status {
+                200..=299 => Outcome::Done { session },
+                rtsp::NOT_ENOUGH_BANDWIDTH | rtsp::SERVICE_UNAVAILABLE => Outcome::Busy,
+                // Not final: the answer is still to come.
+                100..=199 => return None,
+                _ => Outcome::Error,
+            };
+            Some(FromBox::Reply { cseq, outcome, report: report(&figures) })
+        }
+        Message::Ask { cseq, ask } => {
+            let (status, told) = match ask {
+                Ask::Set { figures, .. } => match figures.iter().find(|(n, _)| n == rtsp::SHARE) {
+                    Some((_, share)) => (200, Some(FromBox::Share(*share))),
+                    None => (200, Some(FromBox::News(report(&figures)))),
+                },
+                Ask::Teardown { session } => (200, Some(FromBox::Over { session })),
+                _ => (501, None),
+            };
+            let _ = out.send(Out::Reply { cseq, status });
+            told
+        }
+    }
+}
+
+fn report(figures: &[(String, f64)]) -> Report {
+    let find = |name: &str| figures.iter().find(|(n, _)| n == name).map(|(_, v)| *v);
+    Report { streams: find(rtsp::STREAMS), link: find(rtsp::LINK), uplink: find(rtsp::UPLINK) }
+}
--- /dev/null
+++ b/crates/front/src/door.rs
@@ -0,0 +1,75 @@
+//! Checks a viewer's token and proof by the codecs and asks the gate for its verdict; mints sessions' tokens.
+use arc_swap::ArcSwap;
+use std::sync::Mutex;
+use walnutline_dash::{proof, proof_mark, token, token_hash, SigningKey, VerifyingKey};
+use walnutline_gate::claims::{Claims, SessionClaims};
+use walnutline_gate::keys::Ring;
+use walnutline_gate::used::Used;
+use walnutline_gate::verdict::{Admission, Asked, Refusal};
+
+pub struct Door {
+    terms: Admission,
+    used: Mutex<Used>,
+    issuer: ArcSwap<Ring<VerifyingKey>>,
+    session: ArcSwap<Ring<SigningKey>>,
+}
+
+impl Door {
+    pub fn new(
+        terms: Admission,
+        proofs: usize,
+        issuer: Ring<VerifyingKey>,
+        session: Ring<SigningKey>,
+    ) -> Self {
+        Door {
+            terms,
+            used: Mutex::new(Used::new(terms.window(), proofs)),
+            issuer: ArcSwap::from_pointee(issuer),
+            session: ArcSwap::from_pointee(session),
+        }
+    }
+
+    pub fn reload(&self, issuer: Ring<VerifyingKey>, session: Ring<SigningKey>) {
+        self.issuer.store(issuer.into());
+        self.session.store(session.into());
+    }
+
+    /// Lets a request in by its token and proof, or says why not. `url`: the request's, without the query.
+    pub fn let_in(
+        &self,
+        (method, path, url): (&str, &str, &str),
+        token: Option<&str>,
+        proof: Option<&str>,
+        now: f64,
+    ) -> Result<Claims, Refusal> {
+        let token = token.ok_or(Refusal::NoToken)?;
+        let hash = token_hash(token);
+        let asked = Asked { method, path, url, token_hash: &hash };
+        let ring = self.issuer.load();
+        let claims = token::open(token, |id| ring.find(id, now).copied())?;
+        self.terms.token(&claims, asked, now)?;
+        let proof = proof::open(proof.ok_or(Refusal::NoProof)?)?;
+        self.terms.proof(&claims, &proof, asked, now)?;
+        let mark = proof_mark(&proof.key, &proof.id);
+        let use_ = self.used.lock().unwrap_or_else(|e| e.into_inner()).enter(mark, now);
+        self.terms.first_use(use_)?;
+        Ok(claims)
+    }
+
+    /// Signs a session's token; `None` while no session key is in force.
+    pub fn mint(&self, claims: &SessionClaims, now: f64) -> Option<String> {
+        let ring = self.session.load();
+        let entry = ring.signer(now)?;
+        Some(token::mint_session(claims, &entry.id, &entry.key))
+    }
+
+    /// Checks a session's token that this front gave out itself.
+    pub fn own(&self, token: &str, now: f64) -> Result<SessionClaims, Refusal> {
+        let ring = self.session.load();
+        let claims = token::open_session(token, |id| ring.find(id, now).map(SigningKey::verifying_key))?;
+        if now >= claims.expires {
+            return Err(Refusal::Expired);
+        }
+        Ok(claims)
+    }
+}
--- /dev/null
+++ b/crates/front/src/hub.rs
@@ -0,0 +1,230 @@
+//! The one thread that owns the live desk. Coroutines send it events by a channel; it hands out what the desk
+//! answers: messages to boxes' writers, answers to viewers' connections.
+use crate::boxes::{self, Out};
+use crate::clock::Clock;
+use crate::viewer::Msg;
+use crate::Shared;
+use crossbeam_channel::{Receiver, RecvTimeoutError};
+use std::collections::HashMap;
+use std::io;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use walnutline::ids::{ServerId, SessId};
+use walnutline::terms::Terms;
+use walnutline_desk::live::{Answer, Ask, BoxLine, Do, FromBox, Live, Waits};
+use walnutline_gate::claims::SessionClaims;
+
+/// Events handled before what they lead to goes out.
+const ROUND: usize = 256;
+
+/// What the front keeps with a session.
+pub struct Ticket {
+    pub id: SessId,
+    pub title: String,
+    /// Position of its service group.
+    pub group: usize,
+    /// When its request was read.
+    pub at: f64,
+    /// Where its answer goes.
+    pub to: may::sync::mpsc::Sender<Msg>,
+    /// The session's token for the box that it was last minted for.
+    minted: Mutex<Option<(ServerId, String)>>,
+}
+
+impl Ticket {
+    pub fn new(id: SessId, title: String, group: usize, at: f64, to: may::sync::mpsc::Sender<Msg>) -> Self {
+        Ticket { id, title, group, at, to, minted: Mutex::new(None) }
+    }
+
+    /// The session's token at a box: minted once for the SETUP and its answer alike.
+    pub fn session_token(&self, shared: &Shared, server: ServerId, now: f64) -> Option<String> {
+        let mut minted = self.minted.lock().unwrap_or_else(|e| e.into_inner());
+        if let Some((at, token)) = &*minted {
+            if *at == server {
+                return Some(token.clone());
+            }
+        }
+        let claims = SessionClaims {
+            session: self.id.0,
+            server: server.0,
+            path: format!("/s/{}/", self.id.0),
+            expires: now + shared.manifest.token_lasts,
+        };
+        let token = shared.door.mint(&claims, now)?;
+        *minted = Some((server, token.clone()));
+        Some(token)
+    }
+}
+
+pub enum News {
+    Asked {
+        ask: Ask,
+        ticket: Ticket,
+    },
+    Left(SessId),
+    /// A renewed manifest is asked for.
+    Renew {
+        id: SessId,
+        to: may::sync::mpsc::Sender<Msg>,
+    },
+    Connected {
+        server: ServerId,
+        conn: u64,
+        out: may::sync::mpsc::Sender<Out>,
+    },
+    NotConnected {
+        server: ServerId,
+        conn: u64,
+    },
+    Closed {
+        server: ServerId,
+        conn: u64,
+        begun: u32,
+    },
+    Told {
+        server: ServerId,
+        conn: u64,
+        told: FromBox,
+    },
+    List {
+        whole: bool,
+        lines: Vec<(BoxLine, String)>,
+    },
+}
+
+/// A session that plays, as its manifest is made of it.
+pub struct Plays {
+    pub ticket: Arc<Ticket>,
+    pub server: ServerId,
+    pub rung: u8,
+    pub media: Arc<str>,
+}
+
+pub enum Reply {
+    Plays(Plays),
+    Busy { come_back: Option<f64> },
+    TornDown,
+    Over,
+}
+
+struct Hub {
+    shared: Arc<Shared>,
+    live: Live<Ticket>,
+    media: HashMap<ServerId, Arc<str>>,
+    writers: HashMap<ServerId, (u64, may::sync::mpsc::Sender<Out>)>,
+    waits: Waits,
+}
+
+pub fn start(
+    shared: Arc<Shared>,
+    news: Receiver<News>,
+    terms: Terms,
+    waits: Waits,
+    seed: u64,
+) -> io::Result<()> {
+    let live = Live::new(terms, waits, seed, shared.clock.now());
+    let mut hub = Hub { shared, live, media: HashMap::new(), writers: HashMap::new(), waits };
+    std::thread::Builder::new().name("hub".into()).spawn(move || hub.run(news))?;
+    Ok(())
+}
+
+impl Hub {
+    fn run(&mut self, news: Receiver<News>) {
+        let clock: Clock = self.shared.clock;
+        loop {
+            let now = clock.now();
+            let wait = (self.live.next_at(now) - now).clamp(0.0, 60_000.0);
+            match news.recv_timeout(Duration::from_secs_f64(wait / 1_000.0)) {
+                Ok(first) => {
+                    self.event(first, clock.now());
+                    for more in news.try_iter().take(ROUND) {
+                        self.event(more, clock.now());
+                    }
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            self.live.attend(clock.now());
+            for what in self.live.take() {
+                self.perform(what);
+            }
+        }
+    }
+
+    fn event(&mut self, news: News, now: f64) {
+        match news {
+            News::Asked { mut ask, ticket } => {
+                // What passed since it was read, in queues or in a stall, counts against its viewer's time.
+                ask.left -= now - ticket.at;
+                self.live.asked(ticket.id, ask, ticket, now);
+            }
+            News::Left(id) => self.live.left(id, now),
+            News::Renew { id, to } => {
+                let plays = self.live.plays(id).and_then(|(server, rung, ticket)| {
+                    Some(Plays { ticket, server, rung, media: self.media.get(&server)?.clone() })
+                });
+                let _ = to.send(Msg::Answer(id, plays.map_or(Reply::Over, Reply::Plays)));
+            }
+            News::Connected { server, conn, out } => {
+                if self.live.connected(server, conn, now) {
+                    self.writers.insert(server, (conn, out));
+                } else {
+                    let _ = out.send(Out::Close);
+                }
+            }
+            News::NotConnected { server, conn } => self.live.not_connected(server, conn, now),
+            News::Closed { server, conn, begun } => {
+                self.live.closed(server, conn, begun, now);
+                if self.writers.get(&server).is_some_and(|(c, _)| *c == conn) {
+                    self.writers.remove(&server);
+                }
+            }
+            News::Told { server, conn, told } => self.live.told(server, conn, told, now),
+            News::List { whole, lines } => {
+                let lines = lines.into_iter().map(|(line, media)| {
+                    self.media.insert(line.listed.id, media.into());
+                    line
+                });
+                let lines = lines.collect();
+                if whole {
+                    self.live.listed_all(lines, now)
+                } else {
+                    self.live.listed(lines, now)
+                }
+            }
+        }
+    }
+
+    fn perform(&mut self, what: Do<Ticket>) {
+        match what {
+            Do::Connect { server, conn, address } => {
+                boxes::connect(self.shared.clone(), server, conn, address, self.waits)
+            }
+            Do::Close { server, conn } => {
+                if let Some((_, out)) = self.writers.get(&server).filter(|(c, _)| *c == conn) {
+                    let _ = out.send(Out::Close);
+                    self.writers.remove(&server);
+                }
+            }
+            Do::Send { server, conn, cseq, what } => {
+                if let Some((c, out)) = self.writers.get(&server) {
+                    if *c == conn {
+                        let _ = out.send(Out::Ask { cseq, what });
+                    }
+                }
+            }
+            Do::Answer { id, of, answer } => {
+                let reply = match answer {
+                    Answer::Plays { server, rung } => {
+                        let media = self.media.get(&server).cloned().unwrap_or_else(|| "".into());
+                        Reply::Plays(Plays { ticket: of.clone(), server, rung, media })
+                    }
+                    Answer::Busy { come_back } => Reply::Busy { come_back },
+                    Answer::TornDown => Reply::TornDown,
+                };
+                let _ = of.to.send(Msg::Answer(id, reply));
+            }
+            Do::Log(line) => tracing::info!(target: "walnutline::mode", "{line}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/list.rs
@@ -0,0 +1,133 @@
+//! Follows the list of boxes: one coroutine that opens the event stream, resumes it and hands lists on.
+use crate::boxes::spawn;
+use crate::hub::News;
+use crate::Shared;
+use may::net::TcpStream;
+use std::io::{self, Read, Write};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use walnutline::fleet::{Listed, Listing};
+use walnutline::ids::{CellNo, KindNo, ServerId, ZoneNo};
+use walnutline_control::events::{Event, Reader};
+use walnutline_control::list::{self, Line, State};
+use walnutline_desk::follow::{Follow, Sort, Verdict};
+use walnutline_desk::live::{BoxLine, Waits};
+use walnutline_desk::retry::Retry;
+
+/// Longest header of the stream's answer.
+const HEADER: usize = 16 * 1024;
+
+pub fn start(shared: Arc<Shared>, at: SocketAddr, path: String, waits: Waits, seed: u64) -> io::Result<()> {
+    spawn(move || {
+        let (mut follow, mut retry, mut rng) =
+            (Follow::default(), Retry::default(), fastrand::Rng::with_seed(seed.rotate_left(32)));
+        loop {
+            let why = match stream(&shared, at, &path, waits, &mut follow, &mut retry) {
+                Ok(()) => "its end".to_owned(),
+                Err(e) => e.to_string(),
+            };
+            let wait = retry.failed(&mut rng);
+            tracing::info!(target: "walnutline::mode", "list away why={why:?} again_in={wait:.0}");
+            may::coroutine::sleep(Duration::from_secs_f64(wait / 1_000.0));
+        }
+    });
+    Ok(())
+}
+
+fn stream(
+    shared: &Shared,
+    at: SocketAddr,
+    path: &str,
+    waits: Waits,
+    follow: &mut Follow,
+    retry: &mut Retry,
+) -> io::Result<()> {
+    let within = |ms: f64| Duration::from_secs_f64(ms / 1_000.0);
+    let mut stream = TcpStream::connect_timeout(&at, within(waits.connect))?;
+    stream.set_read_timeout(Some(within(waits.silence)))?;
+    let resume = follow.resume().map_or(String::new(), |n| format!("Last-Event-ID: {n}\r\n"));
+    // HTTP/1.0, so that the stream comes plain and not in chunks.
+    let ask = format!("GET {path} HTTP/1.0\r\nHost: {at}\r\nAccept: text/event-stream\r\n{resume}\r\n");
+    stream.write_all(ask.as_bytes())?;
+    let (mut bytes, mut header) = (vec![0; 65_536], Vec::new());
+    let mut events = Reader::default();
+    let mut in_body = false;
+    loop {
+        let n = stream.read(&mut bytes)?;
+        if n == 0 {
+            return Ok(());
+        }
+        let mut body = &bytes[..n];
+        if !in_body {
+            header.extend_from_slice(body);
+            let Some(end) = header.windows(4).position(|w| w == b"\r\n\r\n") else {
+                if header.len() > HEADER {
+                    return Err(io::Error::other("endless header"));
+                }
+                continue;
+            };
+            if !header.starts_with(b"HTTP/1.") || header.get(9..12) != Some(b"200") {
+                let first = String::from_utf8_lossy(&header[..header.len().min(60)]);
+                return Err(io::Error::other(format!("answered {:?}", first.lines().next().unwrap_or(""))));
+            }
+            body = &header[end + 4..];
+            in_body = true;
+        }
+        let heard = events.push(body).map_err(|e| {
+            follow.unreadable();
+            io::Error::other(e.to_string())
+        })?;
+        for event in heard {
+            take(shared, event, follow)?;
+            retry.worked();
+        }
+    }
+}
+
+fn take(shared: &Shared, event: Event, follow: &mut Follow) -> io::Result<()> {
+    let sort = match event.name.as_str() {
+        list::WHOLE => Sort::Whole,
+        list::CHANGES => Sort::Changes,
+        _ => return Ok(()),
+    };
+    let unreadable = |follow: &mut Follow, why: String| {
+        follow.unreadable();
+        tracing::error!("list: event {:?}: {why}", event.id);
+        Err(io::Error::other(why))
+    };
+    let Some(number) = event.id else {
+        return unreadable(follow, "an event without its number".into());
+    };
+    let list = match list::read(&event.data) {
+        Ok(list) => list,
+        Err(why) => return unreadable(follow, why),
+    };
+    match follow.heard(number, sort) {
+        Verdict::Apply => {
+            let lines = list.boxes.into_iter().map(line).collect();
+            let _ = shared.hub.send(News::List { whole: sort == Sort::Whole, lines });
+            Ok(())
+        }
+        Verdict::Repeat => Ok(()),
+        Verdict::Gap => Err(io::Error::other(format!("a gap before event {number}"))),
+    }
+}
+
+fn line(line: Line) -> (BoxLine, String) {
+    let listed = Listed {
+        id: ServerId(line.id),
+        zone: ZoneNo(line.building),
+        kind: KindNo(line.kind),
+        // Holders are named in requests; of cells only the rack is wanted.
+        cell: CellNo(line.rack),
+        listing: match line.state {
+            State::Ready => Listing::Ready,
+            State::Draining => Listing::Draining,
+            State::Gone => Listing::Gone,
+        },
+        weight: line.weight,
+        started: line.started,
+    };
+    (BoxLine { listed, control: line.control }, line.media)
+}
--- /dev/null
+++ b/crates/front/src/viewer.rs
@@ -0,0 +1,331 @@
+//! Viewers' connections: one coroutine reads requests, one answers them in their order. A request that is taken
+//! gets exactly one answer.
+use crate::boxes::spawn;
+use crate::http::{self, Bad, Request, Response};
+use crate::hub::{News, Reply, Ticket};
+use crate::{answer, Shared};
+use may::net::{TcpListener, TcpStream};
+use may::sync::{mpsc, Semphore};
+use std::collections::VecDeque;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::Shutdown;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use walnutline::ids::{GroupNo, ServerId, SessId, TitleId};
+use walnutline_desk::live::Ask;
+use walnutline_gate::claims::Claims;
+use walnutline_gate::verdict::Refusal;
+
+/// What the answering coroutine of a connection is told.
+pub enum Msg {
+    Request(Request),
+    Bad(Bad),
+    Answer(SessId, Reply),
+    /// The viewer sends no more, or the connection broke: nobody waits for an answer any more.
+    Gone,
+}
+
+/// Names sessions: above a start drawn anew by each process, so that boxes hear no name twice.
+struct Names(AtomicU64);
+
+impl Names {
+    fn next(&self) -> SessId {
+        SessId(self.0.fetch_add(1, Ordering::Relaxed))
+    }
+}
+
+pub fn start(shared: Arc<Shared>, listener: TcpListener, seed: u64) -> io::Result<()> {
+    let start = fastrand::Rng::with_seed(seed ^ shared.clock.now().to_bits()).u64(..1 << 52) << 10;
+    let names = Arc::new(Names(AtomicU64::new(start)));
+    spawn(move || loop {
+        match listener.accept() {
+            Ok((stream, _)) => accepted(&shared, &names, stream),
+            Err(e) => {
+                // Out of descriptors or memory: trying again at once would only spin.
+                tracing::warn!("accept: {e}");
+                may::coroutine::sleep(Duration::from_millis(20));
+            }
+        }
+    });
+    Ok(())
+}
+
+fn accepted(shared: &Arc<Shared>, names: &Arc<Names>, mut stream: TcpStream) {
+    let open = shared.connections.fetch_add(1, Ordering::SeqCst) + 1;
+    let _ = stream.set_nodelay(true);
+    let writes = Duration::from_secs_f64(shared.viewers.write_time / 1_000.0);
+    let _ = stream.set_write_timeout(Some(writes));
+    let halves = stream.try_clone();
+    let full = open > shared.viewers.connections;
+    match halves {
+        Ok(to_write) if !full => {
+            let (inbox, msgs) = mpsc::channel();
+            let connection = Arc::new(Connection {
+                shared: shared.clone(),
+                names: names.clone(),
+                inbox,
+                ahead: Semphore::new(shared.viewers.pipelined),
+                waiting: AtomicUsize::new(0),
+            });
+            let c = connection.clone();
+            spawn(move || {
+                c.answers(to_write, msgs);
+                c.shared.connections.fetch_sub(1, Ordering::SeqCst);
+            });
+            spawn(move || connection.reads(stream));
+        }
+        _ => {
+            let _ =
+                stream.write_all(&http::write(&answer::busy("too many connections", 1_000.0), false, false));
+            shared.connections.fetch_sub(1, Ordering::SeqCst);
+        }
+    }
+}
+
+struct Connection {
+    shared: Arc<Shared>,
+    names: Arc<Names>,
+    inbox: mpsc::Sender<Msg>,
+    /// Leave to read one more request.
+    ahead: Semphore,
+    /// Requests read and not yet answered.
+    waiting: AtomicUsize,
+}
+
+impl Connection {
+    fn reads(&self, mut stream: TcpStream) {
+        let limits = self.shared.viewers;
+        let (mut buffer, mut bytes) = (Vec::new(), vec![0; 2_048]);
+        loop {
+            self.ahead.wait();
+            let request = self.request(&mut stream, &mut buffer, &mut bytes, &limits);
+            let last = match &request {
+                Ok(Some(r)) => !r.keep_alive,
+                _ => true,
+            };
+            match request {
+                Ok(Some(r)) => {
+                    self.waiting.fetch_add(1, Ordering::SeqCst);
+                    let _ = self.inbox.send(Msg::Request(r));
+                }
+                Ok(None) => {}
+                Err(bad) => {
+                    self.waiting.fetch_add(1, Ordering::SeqCst);
+                    let _ = self.inbox.send(Msg::Bad(bad));
+                }
+            }
+            if last {
+                break;
+            }
+        }
+        // Until the answers are out, only the viewer's leaving is looked for.
+        let _ = stream.set_read_timeout(None);
+        while matches!(stream.read(&mut bytes), Ok(n) if n > 0) {}
+        let _ = self.inbox.send(Msg::Gone);
+    }
+
+    /// The next request; `None` at the end of the connection.
+    fn request(
+        &self,
+        stream: &mut TcpStream,
+        buffer: &mut Vec<u8>,
+        bytes: &mut [u8],
+        limits: &walnutline_settings::ViewerLimits,
+    ) -> Result<Option<Request>, Bad> {
+        let clock = self.shared.clock;
+        let mut since = clock.now();
+        loop {
+            if !buffer.is_empty() {
+                if let Some((request, used)) = http::read(buffer, limits, clock.now())? {
+                    buffer.drain(..used);
+                    return Ok(Some(request));
+                }
+            }
+            let allowed = if buffer.is_empty() { limits.idle } else { limits.header_time };
+            let left = since + allowed - clock.now();
+            if left <= 0.0 {
+                if self.waiting.load(Ordering::SeqCst) > 0 && buffer.is_empty() {
+                    since = clock.now();
+                    continue;
+                }
+                if buffer.is_empty() {
+                    return Ok(None);
+                }
+                return Err(Bad { status: 408, why: "the request did not come whole in time".into() });
+            }
+            let _ = stream.set_read_timeout(Some(Duration::from_secs_f64(left / 1_000.0)));
+            match stream.read(bytes) {
+                Ok(0) => return Ok(None),
+                Ok(n) => {
+                    if buffer.is_empty() {
+                        since = clock.now();
+                    }
+                    buffer.extend_from_slice(&bytes[..n]);
+                }
+                Err(e) if matches!(e.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock) => {}
+                Err(_) => return Ok(None),
+            }
+        }
+    }
+
+    fn answers(&self, mut stream: TcpStream, msgs: mpsc::Receiver<Msg>) {
+        let mut queue: VecDeque<Result<Request, Bad>> = VecDeque::new();
+        let mut out: Option<(SessId, Request)> = None;
+        while let Ok(msg) = msgs.recv() {
+            let open = match msg {
+                Msg::Request(r) => {
+                    queue.push_back(Ok(r));
+                    true
+                }
+                Msg::Bad(b) => {
+                    queue.push_back(Err(b));
+                    true
+                }
+                Msg::Answer(id, reply) if out.as_ref().is_some_and(|(of, _)| *of == id) => {
+                    let request = out.take().expect("just seen").1;
+                    let response = answer::write(&self.shared, &reply);
+                    let open = self.send(&mut stream, &response, &request);
+                    self.shared.in_hand.fetch_sub(1, Ordering::SeqCst);
+                    open
+                }
+                Msg::Answer(..) => true,
+                Msg::Gone => {
+                    // A viewer that only closed its sending half still gets an answer, though not a session.
+                    if let Some((id, request)) = out.take() {
+                        let _ = self.shared.hub.send(News::Left(id));
+                        self.send(&mut stream, &answer::busy("the viewer left", 0.0), &request);
+                        self.shared.in_hand.fetch_sub(1, Ordering::SeqCst);
+                    }
+                    false
+                }
+            };
+            if !open {
+                break;
+            }
+            while out.is_none() {
+                let Some(next) = queue.pop_front() else { break };
+                let closes = match next {
+                    Err(bad) => {
+                        let response = Response::plain(bad.status, &bad.why);
+                        let _ = stream.write_all(&http::write(&response, false, false));
+                        true
+                    }
+                    Ok(request) => match self.begin(&request) {
+                        Begun::Waits(id) => {
+                            out = Some((id, request));
+                            false
+                        }
+                        Begun::Answered(response) => !self.send(&mut stream, &response, &request),
+                    },
+                };
+                if closes {
+                    let _ = stream.shutdown(Shutdown::Both);
+                    return;
+                }
+            }
+        }
+        let _ = stream.shutdown(Shutdown::Both);
+    }
+
+    /// Writes an answer; whether the connection stays open after it.
+    fn send(&self, stream: &mut TcpStream, response: &Response, request: &Request) -> bool {
+        let keep = request.keep_alive && !self.shared.stopping.load(Ordering::SeqCst);
+        let bytes = http::write(response, request.method == "HEAD", keep);
+        let sent = stream.write_all(&bytes).is_ok();
+        self.waiting.fetch_sub(1, Ordering::SeqCst);
+        self.ahead.post();
+        sent && keep
+    }
+
+    fn begin(&self, request: &Request) -> Begun {
+        let shared = &self.shared;
+        if request.method != "GET" && request.method != "HEAD" {
+            let mut r = Response::plain(405, "only GET and HEAD are taken");
+            r.headers.push(("Allow", "GET, HEAD".into()));
+            return Begun::Answered(r);
+        }
+        if let Some(id) = request.path.strip_prefix("/s/").and_then(|p| p.strip_suffix(".mpd")) {
+            return self.renew(id, request);
+        }
+        if !(request.path.starts_with("/m/") && request.path.ends_with(".mpd")) {
+            return Begun::Answered(Response::plain(404, "no such thing here"));
+        }
+        if shared.stopping.load(Ordering::SeqCst) {
+            return Begun::Answered(answer::busy("this front is stopping", 0.0));
+        }
+        let url = format!("{}{}", shared.public_url, request.path);
+        let token = request.token.clone().or_else(|| http::query(&request.query, "CAT"));
+        let what = (request.method.as_str(), request.path.as_str(), url.as_str());
+        let now = shared.clock.now();
+        let asked = shared
+            .door
+            .let_in(what, token.as_deref(), request.proof.as_deref(), now)
+            .and_then(|claims| self.ask(&claims, request));
+        match asked {
+            Ok((ask, title)) => {
+                let id = self.names.next();
+                let group = usize::from(ask.group.0);
+                let ticket = Ticket::new(id, title, group, request.at, self.inbox.clone());
+                shared.in_hand.fetch_add(1, Ordering::SeqCst);
+                let _ = shared.hub.send(News::Asked { ask, ticket });
+                Begun::Waits(id)
+            }
+            Err(refusal) => {
+                tracing::debug!(path = request.path, reason = refusal.reason(), "not let in: {refusal:?}");
+                Begun::Answered(answer::refused(&refusal))
+            }
+        }
+    }
+
+    /// A request that was let in, as the desk takes it, and its title.
+    fn ask(&self, claims: &Claims, request: &Request) -> Result<(Ask, String), Refusal> {
+        let groups = &self.shared.groups;
+        let group = groups.iter().position(|g| g.name == claims.group).ok_or(Refusal::UnknownGroup)?;
+        let of_query = |name: &str| http::query(&request.query, name).and_then(|v| v.parse::<f64>().ok());
+        let patience = groups[group].patience;
+        let top = of_query("top").map_or(u8::MAX, |t| t.clamp(0.0, 255.0) as u8);
+        let title = title(&claims.path);
+        let ask = Ask {
+            group: GroupNo(group as u16),
+            title: title_id(&title),
+            holders: claims.holders.iter().map(|h| ServerId(*h)).collect(),
+            top: top.min(claims.top.unwrap_or(u8::MAX)).min(groups[group].top),
+            left: of_query("wait").filter(|w| *w > 0.0).map_or(patience, |w| w.min(patience)),
+        };
+        Ok((ask, title))
+    }
+
+    fn renew(&self, id: &str, request: &Request) -> Begun {
+        let token = http::query(&request.query, "CAT");
+        let own =
+            token.ok_or(Refusal::NoToken).and_then(|t| self.shared.door.own(&t, self.shared.clock.now()));
+        match own {
+            Ok(claims) if claims.session.to_string() == id => {
+                let id = SessId(claims.session);
+                self.shared.in_hand.fetch_add(1, Ordering::SeqCst);
+                let _ = self.shared.hub.send(News::Renew { id, to: self.inbox.clone() });
+                Begun::Waits(id)
+            }
+            Ok(_) => Begun::Answered(answer::refused(&Refusal::OtherTitle)),
+            Err(refusal) => Begun::Answered(answer::refused(&refusal)),
+        }
+    }
+}
+
+enum Begun {
+    Waits(SessId),
+    Answered(Response),
+}
+
+/// The title of a manifest's path, percent-decoded.
+fn title(path: &str) -> String {
+    let name = path.strip_prefix("/m/").and_then(|p| p.strip_suffix(".mpd")).unwrap_or(path);
+    percent_encoding::percent_decode_str(name).decode_utf8_lossy().into_owned()
+}
+
+/// Titles are texts here and numbers to the decisions: the first 8 bytes of their SHA-256.
+fn title_id(title: &str) -> TitleId {
+    let hash = walnutline_dash::token_hash(title);
+    TitleId(u64::from_le_bytes(std::array::from_fn(|n| hash[n])))
+}
--- /dev/null
+++ b/crates/rehearsal/src/audit.rs
@@ -0,0 +1,317 @@
+//! The auditor: judges the six rules and the service from what the stand-ins saw, and from nothing else.
+use crate::record::{Record, Seen, Terms};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::path::Path;
+
+/// A broken rule.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Break {
+    pub rule: u8,
+    pub at: f64,
+    pub what: String,
+}
+
+#[derive(Debug, Default)]
+pub struct Verdict {
+    pub breaks: Vec<Break>,
+    /// Utility started within the start target over utility asked for.
+    pub service: f64,
+    pub viewers: usize,
+    pub requests: usize,
+    /// Final answers by status; 0 where a killed front or a viewer that left needed none.
+    pub answers: BTreeMap<u16, usize>,
+    pub setups: usize,
+    pub further: usize,
+    /// Mean share that segments came at.
+    pub delivered: f64,
+    /// Time from request to manifest, for those that play: median, 99th percentile.
+    pub to_play: (f64, f64),
+    pub began: f64,
+}
+
+/// A rule's slack for the two clocks' reading of one event: records are written beside the sockets, not in them.
+const SLACK: f64 = 5.0;
+/// How long a session that came too late may stay at its box.
+const TEARDOWN_WITHIN: f64 = 1_000.0;
+
+pub fn run(path: &Path) -> Result<(), String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let records = crate::record::read(&text).map_err(|e| format!("{}: {e}", path.display()))?;
+    let verdict = judge(records)?;
+    print(&verdict);
+    if verdict.breaks.is_empty() {
+        Ok(())
+    } else {
+        Err(format!("{} breaks of rules", verdict.breaks.len()))
+    }
+}
+
+pub fn print(v: &Verdict) {
+    let answers: Vec<String> = v.answers.iter().map(|(s, n)| format!("{n} of {s}")).collect();
+    println!("viewers {}  requests {}  answers {}", v.viewers, v.requests, answers.join(", "));
+    println!("SETUPs {}  further {}  delivered share {:.3}", v.setups, v.further, v.delivered);
+    println!("request to manifest: median {:.1} ms, 99th percentile {:.1} ms", v.to_play.0, v.to_play.1);
+    println!("service {:.3}", v.service);
+    for b in v.breaks.iter().take(20) {
+        println!("rule {} broken at {:.3} s: {}", b.rule, (b.at - v.began) / 1_000.0, b.what);
+    }
+    println!("rules {}", if v.breaks.is_empty() { "all kept" } else { "BROKEN" });
+}
+
+#[derive(Default)]
+struct Request {
+    at: f64,
+    viewer: u64,
+    front: u32,
+    group: usize,
+    wait: f64,
+    answers: Vec<(f64, u16)>,
+    excused: bool,
+}
+
+struct Setup {
+    at: f64,
+    server: u32,
+    done: Option<(f64, u16)>,
+}
+
+#[derive(Default)]
+struct Session {
+    front: u32,
+    group: usize,
+    title: String,
+    setups: Vec<Setup>,
+    /// Boxes where it may still play.
+    at: BTreeSet<u32>,
+}
+
+pub fn judge(mut records: Vec<Record>) -> Result<Verdict, String> {
+    let terms = match records.first().map(|r| &r.seen) {
+        Some(Seen::Terms(t)) => t.clone(),
+        _ => return Err("the records do not begin with their terms".into()),
+    };
+    records.sort_by(|a, b| a.at.total_cmp(&b.at));
+    let group_no = |name: &str| {
+        let found = terms.groups.iter().position(|g| g.name == name);
+        found.ok_or_else(|| format!("service group {name:?} is not in the terms"))
+    };
+    let ended = records[records.len() - 1].at;
+    let mut v = Verdict { began: records[0].at, ..Verdict::default() };
+    let mut requests: BTreeMap<u64, Request> = BTreeMap::new();
+    let mut sessions: HashMap<u64, Session> = HashMap::new();
+    let mut not_ready: HashMap<(u32, u32), f64> = HashMap::new();
+    let mut taken: HashMap<u32, Vec<f64>> = HashMap::new();
+    let mut further: HashMap<u32, Vec<f64>> = HashMap::new();
+    let (mut shares, mut played) = ((0.0, 0usize), Vec::new());
+    let mut breaks: Vec<Break> = Vec::new();
+    for Record { at, seen } in records {
+        let mut broken = |rule: u8, what: String| breaks.push(Break { rule, at, what });
+        match seen {
+            Seen::Asked { viewer, req, front, group, wait, .. } => {
+                let group = group_no(&group)?;
+                taken.entry(front).or_default().push(at);
+                requests.insert(req, Request { at, viewer, front, group, wait, ..Request::default() });
+            }
+            Seen::Answered { req, status, session, server } => {
+                let Some(r) = requests.get_mut(&req) else {
+                    return Err(format!("answer to no request {req}"));
+                };
+                r.answers.push((at, status));
+                if status == 200 {
+                    played.push(at - r.at);
+                    let stands = session.and_then(|s| sessions.get(&s)).is_some_and(|s| {
+                        s.setups
+                            .iter()
+                            .any(|o| Some(o.server) == server && o.done.is_some_and(|d| d.1 == 200))
+                    });
+                    if !stands {
+                        broken(1, format!("request {req} was given a session that no box has set up"));
+                    }
+                }
+            }
+            Seen::Again { req } => broken(1, format!("request {req} was answered more than once")),
+            Seen::GaveUp { .. } | Seen::NoAnswer { .. } => {}
+            Seen::Left { req } => {
+                if let Some(r) = requests.get_mut(&req) {
+                    r.excused = true;
+                }
+            }
+            Seen::Segment { share, .. } => shares = (shares.0 + share, shares.1 + 1),
+            Seen::Setup { server, front, session, title, group, rung } => {
+                let group = group_no(&group)?;
+                v.setups += 1;
+                let s = sessions.entry(session).or_default();
+                (s.front, s.group, s.title) = (front, group, title);
+                two_at_once(s, at, &terms)
+                    .into_iter()
+                    .for_each(|w| broken(2, format!("session {session}: {w}")));
+                if !s.setups.is_empty() {
+                    v.further += 1;
+                    further.entry(front).or_default().push(at);
+                    if !terms.groups[group].repeat {
+                        let ran = s.setups.iter().any(|o| !matches!(o.done, Some((_, 453 | 503))));
+                        if ran {
+                            broken(
+                                2,
+                                format!("session {session} was set up again though a SETUP may have run"),
+                            );
+                        }
+                    }
+                }
+                s.setups.push(Setup { at, server, done: None });
+                if s.setups.len() > terms.max_setups {
+                    broken(2, format!("session {session} had {} SETUPs", s.setups.len()));
+                }
+                if let Some(since) = not_ready.get(&(front, server)) {
+                    if at > since + terms.drain_grace + SLACK {
+                        broken(
+                            3,
+                            format!(
+                                "front {front} sent to box {server} {:.0} ms after it was told",
+                                at - since
+                            ),
+                        );
+                    }
+                }
+                if rung < terms.groups[group].floor {
+                    broken(5, format!("session {session} was set up at rung {rung}, under its floor"));
+                }
+                s.at.insert(server);
+                let sent = s.setups.len();
+                let most = terms.groups[group].seats;
+                let held = if most > 0 { seated(&sessions, session, at, &terms) } else { 0 };
+                if held > most {
+                    broken(5, format!("front {front} holds {held} sessions of one title for {most} seats"));
+                }
+                if let Some((free, share, span)) = terms.budget {
+                    let within = |of: Option<&Vec<f64>>| {
+                        of.map_or(0, |all| all.iter().filter(|t| **t > at - span).count()) as f64
+                    };
+                    let (more, of) = (within(further.get(&front)), within(taken.get(&front)));
+                    if sent > 1 && more > free + share * of {
+                        broken(6, format!("front {front} sent {more} further SETUPs for {of} requests"));
+                    }
+                }
+            }
+            Seen::SetupDone { server, session, status } => {
+                let Some(s) = sessions.get_mut(&session) else { continue };
+                if let Some(o) = s.setups.iter_mut().rev().find(|o| o.server == server && o.done.is_none()) {
+                    o.done = Some((at, status));
+                }
+                if status != 200 {
+                    s.at.remove(&server);
+                }
+            }
+            Seen::Over { server, session, .. } => {
+                if let Some(s) = sessions.get_mut(&session) {
+                    s.at.remove(&server);
+                }
+            }
+            Seen::Rung { session, rung, .. } => {
+                let floor = sessions.get(&session).map_or(0, |s| terms.groups[s.group].floor);
+                if rung < floor || rung >= terms.rungs {
+                    broken(5, format!("session {session} was put to rung {rung}, floor {floor}"));
+                }
+            }
+            Seen::Told { front, server, state } => {
+                if state == "ready" {
+                    not_ready.remove(&(front, server));
+                } else {
+                    not_ready.entry((front, server)).or_insert(at);
+                }
+            }
+            Seen::BoxDown { server, why } => {
+                if why == "fell over" {
+                    broken(4, format!("box {server} fell over while cold"));
+                }
+                for s in sessions.values_mut() {
+                    s.at.remove(&server);
+                }
+            }
+            Seen::FrontDown { front } => {
+                for r in requests.values_mut().filter(|r| r.front == front && r.answers.is_empty()) {
+                    r.excused = true;
+                }
+                taken.remove(&front);
+                further.remove(&front);
+                // The one that starts after it holds nothing of what this one held.
+                sessions.values_mut().filter(|s| s.front == front).for_each(|s| s.at.clear());
+            }
+            Seen::Terms(_) | Seen::BoxUp { .. } | Seen::FrontUp { .. } | Seen::Trouble { .. } => {}
+        }
+    }
+    for (no, r) in &requests {
+        let in_time = r.answers.first().is_some_and(|(at, _)| *at <= r.at + r.wait);
+        if !in_time && !r.excused {
+            let what = format!("request {no} to front {} had no answer within {:.0} ms", r.front, r.wait);
+            breaks.push(Break { rule: 1, at: r.at + r.wait, what });
+        }
+        *v.answers.entry(r.answers.first().map_or(0, |a| a.1)).or_default() += 1;
+    }
+    // An answer that came too late is torn down: within a second at the most.
+    for (id, s) in &sessions {
+        let plays = |o: &&Setup| {
+            o.done.is_some_and(|(t, status)| status == 200 && t < ended - TEARDOWN_WITHIN)
+                && s.at.contains(&o.server)
+        };
+        let boxes: Vec<u32> = s.setups.iter().filter(plays).map(|o| o.server).collect();
+        if boxes.len() > 1 {
+            breaks.push(Break { rule: 2, at: ended, what: format!("session {id} plays at boxes {boxes:?}") });
+        }
+    }
+    breaks.sort_by(|a, b| a.at.total_cmp(&b.at));
+    v.breaks = breaks;
+    v.requests = requests.len();
+    (v.viewers, v.service) = service(&requests, &terms);
+    v.delivered = if shares.1 > 0 { shares.0 / shares.1 as f64 } else { 0.0 };
+    played.sort_by(f64::total_cmp);
+    let at = |q: f64| played.get(((played.len() as f64 * q) as usize).min(played.len().max(1) - 1)).copied();
+    v.to_play = (at(0.5).unwrap_or(0.0), at(0.99).unwrap_or(0.0));
+    Ok(v)
+}
+
+/// Sessions of one title and service group that a front holds for certain, the given one among them: a SETUP
+/// without an answer counts while the front cannot have given it up.
+fn seated(sessions: &HashMap<u64, Session>, of: u64, now: f64, terms: &Terms) -> usize {
+    let Some(of) = sessions.get(&of) else { return 0 };
+    let holds = |s: &&Session| {
+        let out = |o: &Setup| match o.done {
+            Some((_, status)) => status == 200 && s.at.contains(&o.server),
+            None => now - o.at < terms.least_timeout && s.at.contains(&o.server),
+        };
+        s.front == of.front && s.group == of.group && s.title == of.title && s.setups.iter().any(out)
+    };
+    sessions.values().filter(holds).count()
+}
+
+/// Whether a session has two SETUPs out, or plays at one box while another is asked. From outside, a SETUP is out
+/// until its answer, or until the front can have given it up.
+fn two_at_once(s: &Session, at: f64, terms: &Terms) -> Option<String> {
+    let last = s.setups.last()?;
+    match last.done {
+        Some((done, 200)) if s.at.contains(&last.server) && done - last.at < terms.least_timeout => {
+            Some(format!("a further SETUP while it plays at box {}", last.server))
+        }
+        None if at - last.at < terms.least_timeout && s.at.contains(&last.server) => {
+            Some(format!("two SETUPs out, the first for {:.0} ms", at - last.at))
+        }
+        _ => None,
+    }
+}
+
+/// A viewer's tries count as one, from the first on.
+fn service(requests: &BTreeMap<u64, Request>, terms: &Terms) -> (usize, f64) {
+    let mut viewers: BTreeMap<u64, (f64, usize, bool)> = BTreeMap::new();
+    for r in requests.values() {
+        let first = viewers.entry(r.viewer).or_insert((r.at, r.group, false));
+        let target = terms.groups[r.group].start_target;
+        first.2 |= r.answers.first().is_some_and(|(at, status)| *status == 200 && at - first.0 <= target);
+    }
+    let utility = |(_, group, _): &&(f64, usize, bool)| terms.groups[*group].utility;
+    let asked: f64 = viewers.values().map(|v| utility(&v)).sum();
+    let started: f64 = viewers.values().filter(|v| v.2).map(|v| utility(&v)).sum();
+    (viewers.len(), if asked > 0.0 { started / asked } else { 0.0 })
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -1,1 +1,15 @@
-
+//! The rehearsal kit: stand-ins for all that a front talks to, scripts of trouble, and the auditor. It knows the
+//! codecs, never the front or its decisions: what it judges by is what it saw on its own sockets.
+//!
+//! - [`script`]: the language of bad days. [`play`]: a day played on a depot with real fronts.
+//! - [`depot`]: what boxes are and carry. [`boxes`], [`list`], [`viewers`]: their sockets.
+//! - [`record`]: what was seen. [`audit`]: the rules and the service, judged from that alone.
+pub mod audit;
+pub mod boxes;
+pub mod depot;
+pub mod list;
+pub mod net;
+pub mod play;
+pub mod record;
+pub mod script;
+pub mod viewers;
--- /dev/null
+++ b/crates/rehearsal/src/list.rs
@@ -0,0 +1,125 @@
+//! The stand-in list: an event stream to each front, as late as the script says.
+use crate::net::{header, read_head, sleep, spawn};
+use crate::record::{Recorder, Seen};
+use may::net::TcpListener;
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use walnutline_control::events::{self, Event};
+use walnutline_control::list::{self, Line, List, State, CHANGES, WHOLE};
+
+/// Changes kept for fronts that resume.
+const KEPT: usize = 64;
+
+struct Change {
+    number: u64,
+    at: f64,
+    lines: Vec<Line>,
+}
+
+#[derive(Default)]
+struct Inside {
+    lines: Vec<Line>,
+    changes: Vec<Change>,
+    number: u64,
+    /// How late changes are told, until when.
+    late: (f64, f64),
+}
+
+pub struct Listing {
+    inside: Mutex<Inside>,
+    seen: Arc<Recorder>,
+    /// How late changes are told when all is well.
+    delay: f64,
+}
+
+impl Listing {
+    pub fn start(seen: Arc<Recorder>, delay: f64) -> io::Result<(Arc<Self>, SocketAddr)> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let listing = Arc::new(Listing { inside: Mutex::default(), seen, delay });
+        let l = listing.clone();
+        spawn(move || {
+            while let Ok((stream, _)) = listener.accept() {
+                let l = l.clone();
+                spawn(move || drop(l.serve(stream)));
+            }
+        });
+        Ok((listing, address))
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Inside> {
+        self.inside.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Lines that are new or other than before.
+    pub fn change(&self, lines: Vec<Line>) {
+        let mut inside = self.lock();
+        for line in &lines {
+            inside.lines.retain(|l| l.id != line.id);
+            inside.lines.push(line.clone());
+        }
+        inside.number += 1;
+        let (number, at) = (inside.number, self.seen.now());
+        inside.changes.push(Change { number, at, lines });
+        if inside.changes.len() > KEPT {
+            inside.changes.remove(0);
+        }
+    }
+
+    pub fn set_state(&self, server: u32, state: State) {
+        let line = self.lock().lines.iter().find(|l| l.id == server).cloned();
+        if let Some(line) = line {
+            self.change(vec![Line { state, ..line }]);
+        }
+    }
+
+    pub fn late(&self, late: f64, until: f64) {
+        self.lock().late = (late, until);
+    }
+
+    /// What may be told now beyond a number: a change is told once it is as old as the list is late.
+    fn due(&self, told: Option<u64>) -> Option<(u64, &'static str, Vec<Line>)> {
+        let now = self.seen.now();
+        let inside = self.lock();
+        let late = if now < inside.late.1 { inside.late.0 } else { self.delay };
+        let told = match told {
+            Some(told) if inside.changes.first().is_none_or(|c| c.number <= told + 1) => told,
+            // From the start, or more was missed than is kept.
+            _ => return Some((inside.number, WHOLE, inside.lines.clone())),
+        };
+        let next = inside.changes.iter().find(|c| c.number == told + 1 && c.at + late <= now)?;
+        Some((next.number, CHANGES, next.lines.clone()))
+    }
+
+    fn serve(&self, mut stream: may::net::TcpStream) -> io::Result<()> {
+        let Some(head) = read_head(&mut stream, &mut Vec::new())? else { return Ok(()) };
+        // Each front has a path of its own, so that it is known who was told what.
+        let path = head.split(' ').nth(1).unwrap_or("");
+        let front = path.rsplit('/').next().and_then(|n| n.parse().ok()).unwrap_or(u32::MAX);
+        let mut told = header(&head, "Last-Event-ID").and_then(|n| n.parse().ok());
+        stream.write_all(b"HTTP/1.0 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")?;
+        let mut quiet = 0;
+        loop {
+            match self.due(told) {
+                Some((number, name, boxes)) => {
+                    told = Some(number);
+                    for line in &boxes {
+                        let state = format!("{:?}", line.state).to_lowercase();
+                        self.seen.saw(Seen::Told { front, server: line.id, state });
+                    }
+                    let data = list::write(&List { boxes });
+                    let event = Event { id: Some(number), name: name.into(), data };
+                    stream.write_all(events::write(&event).as_bytes())?;
+                }
+                None => {
+                    quiet += 1;
+                    if quiet % 100 == 0 {
+                        stream.write_all(b": all as before\n")?;
+                    }
+                    sleep(10.0);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/play.rs
@@ -0,0 +1,504 @@
+//! A day played: a depot of stand-ins, real fronts as processes, the script's troubles in their time, a verdict.
+use crate::audit;
+use crate::boxes::{Common, Process};
+use crate::depot::{Depot, Kind};
+use crate::list::Listing;
+use crate::record::{GroupTerms, Recorder, Seen, Terms};
+use crate::script::{self, Script, Trouble, Which};
+use crate::viewers::{Crowd, Fronts, Title, Viewers};
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use walnutline_control::list::{Line, State};
+use walnutline_dash::{to_base64, SigningKey};
+
+#[derive(clap::Args)]
+pub struct Args {
+    /// The script of the day.
+    script: PathBuf,
+    /// Where the records go; else they are dropped with the day's other files.
+    #[arg(long)]
+    records: Option<PathBuf>,
+    /// Viewers' tokens name one holder drawn by chance, so that the fronts have no choice: a baseline.
+    #[arg(long)]
+    random_holder: bool,
+    /// Another seed than the script's.
+    #[arg(long)]
+    seed: Option<u64>,
+}
+
+const TITLES: u32 = 24;
+/// The last titles lie on few boxes.
+const THIN: u32 = 4;
+const SEGMENT: f64 = 500.0;
+/// Bytes sent for a byte of the ladder's rates: loopback carries a depot in miniature.
+const BYTES_SCALE: f64 = 0.02;
+const LIST_DELAY: f64 = 400.0;
+/// A box that drains is taken away after this.
+const DRAIN_TO_DEATH: f64 = 1_500.0;
+/// A front is up within this, or the rehearsal gives up.
+const FRONT_UP: Duration = Duration::from_secs(10);
+
+/// The depot's terms: what the fronts' documents and the auditor say alike.
+fn kind(script: &Script) -> Kind {
+    Kind {
+        streams: 40,
+        link_kb: 12_000.0,
+        uplink_kb: 12_000.0 * f64::from(script.boxes) / f64::from(script.racks) * 0.9,
+        rung_kb: vec![200.0, 400.0, 700.0, 1_200.0],
+        cold: 6_000.0,
+        cold_from: 0.4,
+        tip_multiple: 3.0,
+        tip_after: 1_000.0,
+        busy_from: 1.2,
+    }
+}
+
+fn terms() -> Terms {
+    let group = |name: &str, start_target, patience, utility| GroupTerms {
+        name: name.into(),
+        start_target,
+        patience,
+        utility,
+        repeat: true,
+        floor: 0,
+        seats: 0,
+    };
+    Terms {
+        groups: vec![
+            group("council-notice", 1_000.0, 3_000.0, 3.0),
+            group("board-loop", 1_500.0, 4_000.0, 1.0),
+        ],
+        rungs: 4,
+        drain_grace: 250.0,
+        max_setups: 3,
+        budget: Some((5.0, 0.2, 10_000.0)),
+        least_timeout: 100.0,
+    }
+}
+
+fn document(script: &Script, kind: &Kind, terms: &Terms, list: SocketAddr, front: u32) -> String {
+    let mut text = format!("listen \"127.0.0.1:0\"\nlist \"http://{list}/boxes/{front}\"\n");
+    text +=
+        &format!("fronts {}\nseed {}\nladder {{\n", script.fronts, script.seed * 1_000 + u64::from(front));
+    for (rung, kb) in kind.rung_kb.iter().enumerate() {
+        let utility = (rung + 1) as f64 / kind.rung_kb.len() as f64;
+        text += &format!("    rung kb={kb} utility={utility}\n");
+    }
+    text += "}\n";
+    for g in &terms.groups {
+        text += &format!(
+            "service-group \"{}\" start-target={} setup-timeout={} utility={} repeat=\"safe\"\n",
+            g.name, g.start_target, g.patience, g.utility
+        );
+    }
+    text += &format!("kind \"box\" streams={}\n", kind.streams);
+    text += &format!("links link-kb={} uplink-kb={}\n", kind.link_kb, kind.uplink_kb);
+    text += "reports via=\"probe\" delay=800 {\n    columns \"streams\" \"link\" \"uplink\"\n}\n";
+    let (free, share, span) = terms.budget.unwrap_or((0.0, 0.0, 1_000.0));
+    text += &format!(
+        "setups most={} {{\n    budget free={free} share={share} span={span}\n}}\n",
+        terms.max_setups
+    );
+    text += &format!(
+        "cold lasts={} from={} multiple={} span={}\n",
+        kind.cold, kind.cold_from, kind.tip_multiple, kind.tip_after
+    );
+    text += "come-back most=800\nwaits connect=500 probe=300 silence=15000 way-back=60\n";
+    text += "viewers connections=4000 header-bytes=8192 headers=64 header-time=5000 idle=60000 pipelined=4 ";
+    text += "write-time=5000\ntokens proof-age=10000 clock-skew=2000 proofs=200000 {\n";
+    text += "    issuer-key \"k1\" file=\"k1.pub\"\n";
+    text += &format!("    session-key \"f{front}\" file=\"f{front}.secret\"\n}}\n");
+    text + &format!("manifest segment={SEGMENT} update=2000 token-lasts=600000\n")
+}
+
+/// Files of one rehearsal, gone with it.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new() -> Result<Self, String> {
+        let unique = Instant::now();
+        let name = format!("walnutline-rehearsal-{}-{unique:?}", std::process::id());
+        let name: String = name.chars().filter(|c| c.is_ascii_alphanumeric() || *c == '-').collect();
+        let path = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+        Ok(Folder(path))
+    }
+
+    fn write(&self, name: &str, text: &str) -> Result<PathBuf, String> {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+        Ok(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+struct FrontProcess {
+    child: Child,
+    started: u32,
+}
+
+struct Day {
+    script: Script,
+    folder: Folder,
+    seen: Arc<Recorder>,
+    common: Arc<Common>,
+    depot: Arc<Depot>,
+    listing: Arc<Listing>,
+    boxes: BTreeMap<u32, Process>,
+    viewers: Arc<Viewers>,
+    fronts: BTreeMap<u32, FrontProcess>,
+    rng: StdRng,
+    /// What the script's statements lead to later on.
+    later: Vec<(f64, Later)>,
+}
+
+enum Later {
+    Kill(u32),
+    /// Gone from the list, as the list finds out.
+    Gone(u32),
+    StartCold(u32),
+    Drain(Vec<u32>),
+    KillFront(u32),
+    Continue(u32),
+}
+
+pub fn run(args: Args) -> Result<(), String> {
+    let file = args.script.display().to_string();
+    let text = std::fs::read_to_string(&args.script).map_err(|e| format!("{file}: {e}"))?;
+    let mut script = script::parse(&file, &text)?;
+    script.seed = args.seed.unwrap_or(script.seed);
+    let verdict = play(script, args.records.as_deref(), args.random_holder)?;
+    audit::print(&verdict);
+    match verdict.breaks.len() {
+        0 => Ok(()),
+        n => Err(format!("{n} breaks of rules")),
+    }
+}
+
+/// Plays a day and judges it. `random_holder`: see [`Args`].
+pub fn play(script: Script, records: Option<&Path>, random_holder: bool) -> Result<audit::Verdict, String> {
+    may::config().set_workers(2).set_stack_size(0x8000);
+    let folder = Folder::new()?;
+    let own = folder.0.join("records.jsonl");
+    let records = records.unwrap_or(&own).to_owned();
+    let seen = Arc::new(Recorder::create(&records)?);
+    seen.saw(Seen::Terms(terms()));
+    let mut day = Day::begin(script, folder, seen, random_holder)?;
+    let played = day.run();
+    day.end();
+    played?;
+    day.seen.flush()?;
+    let text = std::fs::read_to_string(&records).map_err(|e| format!("{}: {e}", records.display()))?;
+    audit::judge(crate::record::read(&text)?)
+}
+
+impl Day {
+    fn begin(script: Script, folder: Folder, seen: Arc<Recorder>, random: bool) -> Result<Self, String> {
+        let mut rng = StdRng::seed_from_u64(script.seed);
+        let kind = kind(&script);
+        let issuer = SigningKey::from_bytes(&std::array::from_fn(|_| rng.random()));
+        folder.write("k1.pub", &to_base64(issuer.verifying_key().as_bytes()))?;
+        let mut front_keys = BTreeMap::new();
+        let (listing, list) =
+            Listing::start(seen.clone(), LIST_DELAY).map_err(|e| format!("the list: {e}"))?;
+        for front in 0..script.fronts {
+            let key = SigningKey::from_bytes(&std::array::from_fn(|_| rng.random()));
+            folder.write(&format!("f{front}.secret"), &to_base64(key.as_bytes()))?;
+            front_keys.insert(format!("f{front}").into_bytes(), (front, key.verifying_key()));
+            let text = document(&script, &kind, &terms(), list, front);
+            folder.write(&format!("f{front}.kdl"), &text)?;
+        }
+        let depot = Arc::new(Depot::new(script.boxes, script.racks, kind, seen.clone()));
+        let scales = BTreeMap::new();
+        let common = Arc::new(Common::new(depot.clone(), front_keys, scales, BYTES_SCALE, SEGMENT));
+        let titles = (0..TITLES).map(|n| {
+            let copies = if n + THIN >= TITLES { 3 } else { (script.boxes / 2).max(3) };
+            let mut all: Vec<u32> = (0..script.boxes).collect();
+            all.shuffle(&mut rng);
+            all.truncate(if random { 1 } else { copies as usize });
+            Title { name: format!("notice-{n}"), holders: all }
+        });
+        let titles = titles.collect();
+        let shares = [0.35, 0.65];
+        let viewers = Arc::new(Viewers::new(
+            seen.clone(),
+            terms().groups.into_iter().zip(shares).collect(),
+            titles,
+            issuer,
+            b"k1".to_vec(),
+            script.sessions,
+            SEGMENT,
+        ));
+        let mut day = Day {
+            script,
+            folder,
+            seen,
+            common,
+            depot,
+            listing,
+            boxes: BTreeMap::new(),
+            viewers,
+            fronts: BTreeMap::new(),
+            rng,
+            later: Vec::new(),
+        };
+        for server in 0..day.script.boxes {
+            day.start_box(server, false)?;
+        }
+        for front in 0..day.script.fronts {
+            day.start_front(front, 0)?;
+        }
+        Ok(day)
+    }
+
+    fn start_box(&mut self, server: u32, cold: bool) -> Result<(), String> {
+        let p = Process::start(&self.common, server, cold).map_err(|e| format!("box {server}: {e}"))?;
+        let line = Line {
+            id: server,
+            name: format!("box-{server}"),
+            state: State::Ready,
+            rack: server % self.script.racks,
+            building: 0,
+            kind: 0,
+            weight: 1.0,
+            started: cold.then(|| self.seen.now()),
+            control: p.control,
+            media: format!("http://{}", p.media),
+        };
+        self.boxes.insert(server, p);
+        self.listing.change(vec![line]);
+        Ok(())
+    }
+
+    fn kill_box(&mut self, server: u32, why: &str) {
+        if let Some(p) = self.boxes.remove(&server) {
+            p.kill(why);
+        }
+    }
+
+    fn start_front(&mut self, front: u32, started: u32) -> Result<(), String> {
+        let at = self.folder.0.join(format!("f{front}-{started}.address"));
+        let binary = std::env::current_exe().map_err(|e| format!("own program: {e}"))?;
+        let child = Command::new(binary)
+            .arg("front")
+            .arg(self.folder.0.join(format!("f{front}.kdl")))
+            .arg("--address-file")
+            .arg(&at)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .spawn()
+            .map_err(|e| format!("front {front}: {e}"))?;
+        self.fronts.insert(front, FrontProcess { child, started });
+        let until = Instant::now() + FRONT_UP;
+        let address = loop {
+            if let Ok(text) = std::fs::read_to_string(&at) {
+                break text.parse().map_err(|_| format!("front {front}: address {text:?}"))?;
+            }
+            if Instant::now() > until {
+                return Err(format!("front {front} is not up after {FRONT_UP:?}"));
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        };
+        self.seen.saw(Seen::FrontUp { front });
+        // Viewers are spread unevenly over the fronts.
+        let share = 1.0 + f64::from(front % 3) * 0.4;
+        self.with_fronts(|f| f.up.push((front, address, share)));
+        Ok(())
+    }
+
+    fn with_fronts(&self, change: impl FnOnce(&mut Fronts)) {
+        change(&mut self.viewers.fronts.lock().unwrap_or_else(|e| e.into_inner()));
+    }
+
+    fn kill_front(&mut self, front: u32) -> Result<(), String> {
+        let Some(mut p) = self.fronts.remove(&front) else { return Ok(()) };
+        self.with_fronts(|f| f.up.retain(|(no, ..)| *no != front));
+        self.seen.saw(Seen::FrontDown { front });
+        let _ = p.child.kill();
+        let _ = p.child.wait();
+        self.start_front(front, p.started + 1)
+    }
+
+    fn run(&mut self) -> Result<(), String> {
+        let (viewers, rate, seed) = (self.viewers.clone(), self.script.viewers, self.script.seed);
+        crate::net::spawn(move || viewers.arrive(rate, seed));
+        let depot = self.depot.clone();
+        let closed = self.viewers.clone();
+        crate::net::spawn(move || {
+            while !closed.closed.load(Ordering::SeqCst) {
+                depot.sample();
+                crate::net::sleep(50.0);
+            }
+        });
+        let began = self.seen.now();
+        let mut troubles = self.script.troubles.clone().into_iter().peekable();
+        loop {
+            let now = self.seen.now();
+            while let Some((_, trouble)) = troubles.next_if(|(at, _)| began + at <= now) {
+                self.seen.saw(Seen::Trouble { what: format!("{trouble:?}") });
+                self.trouble(trouble, now)?;
+            }
+            self.later.sort_by(|a, b| a.0.total_cmp(&b.0));
+            while self.later.first().is_some_and(|(at, _)| *at <= now) {
+                let (_, what) = self.later.remove(0);
+                self.do_later(what, now)?;
+            }
+            if now >= began + self.script.length {
+                return Ok(());
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// No more viewers; those that are here play to their end, then the fronts stop.
+    fn end(&mut self) {
+        self.viewers.closed.store(true, Ordering::SeqCst);
+        let until = Instant::now() + Duration::from_secs_f64(self.script.sessions.1 / 1_000.0 + 8.0);
+        while self.viewers.here.load(Ordering::SeqCst) > 0 && Instant::now() < until {
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        for (front, mut p) in std::mem::take(&mut self.fronts) {
+            signal(p.child.id(), libc::SIGCONT);
+            signal(p.child.id(), libc::SIGTERM);
+            let until = Instant::now() + FRONT_UP;
+            loop {
+                match p.child.try_wait() {
+                    Ok(Some(status)) if status.success() => break,
+                    Ok(None) if Instant::now() < until => std::thread::sleep(Duration::from_millis(5)),
+                    other => {
+                        eprintln!("front {front} did not stop cleanly: {other:?}");
+                        let _ = p.child.kill();
+                        let _ = p.child.wait();
+                        break;
+                    }
+                }
+            }
+        }
+        for p in std::mem::take(&mut self.boxes).into_values() {
+            p.kill("end of the day");
+        }
+    }
+
+    fn pick(&mut self, which: &Which) -> Vec<u32> {
+        let all: Vec<u32> = (0..self.script.boxes).collect();
+        match which {
+            Which::Box(n) => all.into_iter().filter(|b| b == n).collect(),
+            Which::Rack(n) => all.into_iter().filter(|b| b % self.script.racks == *n).collect(),
+            Which::All => all,
+            Which::Some(n) => {
+                let mut all = all;
+                all.shuffle(&mut self.rng);
+                all.truncate(*n as usize);
+                all
+            }
+        }
+    }
+
+    fn trouble(&mut self, trouble: Trouble, now: f64) -> Result<(), String> {
+        match trouble {
+            Trouble::Kill(which) => {
+                for server in self.pick(&which) {
+                    self.kill_box(server, "killed");
+                    self.listing.set_state(server, State::Gone);
+                }
+            }
+            Trouble::Restart(which) => {
+                // Those that are away come back; where none is, the chosen ones are restarted.
+                let away = (0..self.script.boxes).filter(|b| !self.boxes.contains_key(b)).collect::<Vec<_>>();
+                let chosen = self.pick(&which);
+                let count = chosen.len();
+                let again: Vec<u32> = match which {
+                    Which::Some(_) if !away.is_empty() => away.into_iter().take(count).collect(),
+                    _ => chosen,
+                };
+                for server in again {
+                    self.kill_box(server, "restarted");
+                    self.start_box(server, true)?;
+                }
+            }
+            Trouble::Hang { which, lasts } => self.each(&which, |t| t.hang_until = now + lasts),
+            Trouble::Errors { which, share, lasts } => self.each(&which, |t| t.errors = (share, now + lasts)),
+            Trouble::LoseAnswers { which, share, lasts } => {
+                self.each(&which, |t| t.lose = (share, now + lasts))
+            }
+            Trouble::Links { which, share, lasts } => self.each(&which, |t| t.link = (share, now + lasts)),
+            Trouble::ReportsLate { late, lasts } => self.depot.lock().reports_late = (late, now + lasts),
+            Trouble::ListLate { late, lasts } => self.listing.late(late, now + lasts),
+            Trouble::Crowd { times, titles, lasts } => {
+                let crowd = Crowd { until: now + lasts, times: times.max(1.0), titles: titles as usize };
+                *self.viewers.crowd.lock().unwrap_or_else(|e| e.into_inner()) = Some(crowd);
+            }
+            Trouble::Roll { which, by, every } => {
+                for (n, wave) in self.pick(&which).chunks(by as usize).enumerate() {
+                    self.later.push((now + every * n as f64, Later::Drain(wave.to_vec())));
+                }
+            }
+            Trouble::FrontsRestart { within } => {
+                let n = self.script.fronts;
+                for front in 0..n {
+                    let at = now + within * f64::from(front) / f64::from(n);
+                    self.later.push((at, Later::KillFront(front)));
+                }
+            }
+            Trouble::StopFront { front, lasts } => {
+                if let Some(p) = self.fronts.get(&front) {
+                    signal(p.child.id(), libc::SIGSTOP);
+                    self.later.push((now + lasts, Later::Continue(front)));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn each(&mut self, which: &Which, change: impl Fn(&mut crate::depot::Troubles)) {
+        let chosen = self.pick(which);
+        let mut inside = self.depot.lock();
+        chosen.into_iter().for_each(|b| change(&mut inside.boxes[b as usize].troubles));
+    }
+
+    fn do_later(&mut self, what: Later, now: f64) -> Result<(), String> {
+        match what {
+            Later::Drain(wave) => {
+                for server in wave {
+                    self.listing.set_state(server, State::Draining);
+                    self.later.push((now + DRAIN_TO_DEATH, Later::Kill(server)));
+                }
+            }
+            Later::Kill(server) => {
+                self.kill_box(server, "drained");
+                self.later.push((now + 50.0, Later::Gone(server)));
+            }
+            Later::Gone(server) => {
+                self.listing.set_state(server, State::Gone);
+                self.later.push((now + 200.0, Later::StartCold(server)));
+            }
+            Later::StartCold(server) => self.start_box(server, true)?,
+            Later::KillFront(front) => self.kill_front(front)?,
+            Later::Continue(front) => {
+                if let Some(p) = self.fronts.get(&front) {
+                    signal(p.child.id(), libc::SIGCONT);
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Sends a signal to a front that this rehearsal started and has not waited for.
+fn signal(pid: u32, signal: i32) {
+    // Sound: a call without memory of ours; the process is our child and still unreaped, so the id is its own.
+    unsafe { libc::kill(pid as i32, signal) };
+}
