--- a/crates/rehearsal/src/boxes.rs
+++ b/crates/rehearsal/src/boxes.rs
@@ -142,7 +142,7 @@
         spawn(move || notices.0.notices(&notices.1));
         let (mut reader, mut bytes) = (Reader::default(), vec![0; 8_192]);
         'read: while let Ok(n) = stream.read(&mut bytes) {
-            if n == 0 || !conn.awake() {
+            if n == 0 {
                 break;
             }
             reader.push(&bytes[..n]);
@@ -217,6 +217,21 @@
                     }
                 });
             }
+            // What comes to a box that hangs is seen as it comes, and done once it wakes.
+            Ask::Set { .. } | Ask::Teardown { .. } => {
+                let (conn, writer) = (self.clone(), writer.clone());
+                spawn(move || {
+                    if conn.awake() {
+                        conn.change(cseq, ask, &writer);
+                    }
+                });
+            }
+            Ask::Other(_) => self.reply(writer, cseq, 501, Vec::new()),
+        }
+    }
+
+    fn change(&self, cseq: u32, ask: Ask, writer: &Writer) {
+        match ask {
             Ask::Set { session, figures } => {
                 let rung = figures.iter().find(|(n, _)| n == rtsp::RUNG).map(|(_, v)| *v as u8);
                 let known = self.with_session(session.as_deref(), |s| {
@@ -238,7 +253,7 @@
                 }
                 self.reply(writer, cseq, if known.is_some() { 200 } else { 454 }, Vec::new());
             }
-            Ask::Other(_) => self.reply(writer, cseq, 501, Vec::new()),
+            _ => {}
         }
     }
 
--- a/crates/rehearsal/src/viewers.rs
+++ b/crates/rehearsal/src/viewers.rs
@@ -6,7 +6,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp, Zipf};
-use std::io::{ErrorKind, Read, Write};
+use std::io::{self, ErrorKind, Read, Write};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -243,7 +243,9 @@
             let advised = header(&head, "Retry-After-Ms").and_then(|v| v.parse().ok()).unwrap_or(0.0);
             return End::Again(advised);
         };
+        let mut stream = Some(stream);
         let end = self.watch(&mut stream, &mut buffer, plays, id, server, length);
+        let Some(mut stream) = stream else { return end };
         // Whatever else came on this connection was not asked for.
         let _ = stream.set_read_timeout(Some(within(1.0)));
         if !buffer.is_empty() || matches!(stream.read(&mut [0; 16]), Ok(n) if n > 0) {
@@ -255,7 +257,7 @@
     /// Watches segment by segment, renewing the manifest as it says.
     fn watch(
         &self,
-        front: &mut TcpStream,
+        front: &mut Option<TcpStream>,
         buffer: &mut Vec<u8>,
         mut plays: mpd::Mpd,
         session: u64,
@@ -291,8 +293,11 @@
             sleep(self.segment - took);
             if self.seen.now() - renewed >= update {
                 renewed = self.seen.now();
-                if let Some(next) = renew(front, buffer, &plays.location) {
-                    plays = next;
+                match front.as_mut().map(|f| renew(f, buffer, &plays.location)) {
+                    Some(Ok(Some(next))) => plays = next,
+                    // The front is away or late: the picture goes on without it, this connection does not.
+                    Some(Err(_)) => *front = None,
+                    _ => {}
                 }
             }
         }
@@ -300,14 +305,14 @@
     }
 }
 
-/// Fetches the renewed manifest; the front being away does not stop the picture.
-fn renew(front: &mut TcpStream, buffer: &mut Vec<u8>, location: &str) -> Option<mpd::Mpd> {
-    let (host, path) = split_url(location)?;
-    let _ = front.set_read_timeout(Some(within(1_000.0)));
-    front.write_all(format!("GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n").as_bytes()).ok()?;
-    let head = read_head(front, buffer).ok()??;
-    let body = read_body(front, buffer, &head).ok()?;
-    head.contains(" 200 ").then(|| mpd::read(&String::from_utf8_lossy(&body)).ok())?
+/// Fetches the renewed manifest; none once the session is over.
+fn renew(front: &mut TcpStream, buffer: &mut Vec<u8>, location: &str) -> io::Result<Option<mpd::Mpd>> {
+    let (host, path) = split_url(location).ok_or_else(|| io::Error::other("no location"))?;
+    front.set_read_timeout(Some(within(1_000.0)))?;
+    front.write_all(format!("GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n").as_bytes())?;
+    let head = read_head(front, buffer)?.ok_or(ErrorKind::UnexpectedEof)?;
+    let body = read_body(front, buffer, &head)?;
+    Ok(if head.contains(" 200 ") { mpd::read(&String::from_utf8_lossy(&body)).ok() } else { None })
 }
 
 fn split_url(url: &str) -> Option<(SocketAddr, String)> {
