Overdue viewers are cut off by one watch; connecting has a limit of the desk's own

Two hundred senders that drip bytes: in some runs one to five of them never got their 408. The coroutine library keeps a list for each length of time-out, and reads with unlike time-outs now and then lose theirs.

One thread now looks over all connections every 50 ms and shuts overdue ones for reading; answers are written without blocking on a second handle of the socket. The desk times the opening of control connections itself.

--- a/crates/desk/src/live.rs
+++ b/crates/desk/src/live.rs
@@ -113,6 +113,7 @@
     Answer { server: ServerId, conn: u64, cseq: u32 },
     Waiting { server: ServerId, ticket: u64 },
     Reconnect { server: ServerId },
+    Connecting { server: ServerId, conn: u64 },
     Silence { server: ServerId, conn: u64 },
 }
 
@@ -279,6 +280,7 @@
         let Some(link) = self.links.get_mut(&server) else { return };
         let conn = link.connect();
         link.heard_at = now;
+        self.timers.set(now + 2.0 * self.waits.connect, Due::Connecting { server, conn });
         self.dos.push(Do::Connect { server, conn, address: link.address });
     }
 
@@ -559,6 +561,13 @@
                     self.connect(server, now);
                 }
             }
+            // Whoever opens connections keeps to the time itself; this guards against one that says nothing.
+            Due::Connecting { server, conn } => {
+                let connecting = State::Connecting { conn };
+                if self.links.get(&server).is_some_and(|l| l.state == connecting) {
+                    self.not_connected(server, conn, now);
+                }
+            }
             Due::Silence { server, conn } => self.silence(server, conn, now),
         }
     }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`hub`]: the one thread that owns the live desk; events come to it by a channel.
 //! - [`viewer`]: viewers' connections; [`http`] reads their requests, [`door`] checks tokens, [`answer`] writes.
+//! - [`watch`]: cuts off connections that are overdue.
 //! - [`boxes`]: control connections. [`list`]: the list of boxes.
 //! - [`clock`]: the one clock.
 pub mod answer;
@@ -12,6 +13,7 @@
 pub mod hub;
 pub mod list;
 pub mod viewer;
+pub mod watch;
 
 use clock::Clock;
 use door::Door;
@@ -37,6 +39,7 @@
     pub groups: Vec<GroupTerms>,
     pub public_url: String,
     pub hub: crossbeam_channel::Sender<hub::News>,
+    pub watch: Arc<watch::Watch>,
     /// Set once the front takes no more viewers.
     pub stopping: AtomicBool,
     /// Viewers' connections open, and requests taken and not yet answered.
@@ -101,6 +104,7 @@
         groups: d.groups.iter().enumerate().map(group).collect(),
         public_url: d.public_url.unwrap_or_else(|| format!("http://{address}")),
         hub,
+        watch: watch::Watch::start(clock)?,
         stopping: AtomicBool::new(false),
         connections: AtomicUsize::new(0),
         in_hand: AtomicUsize::new(0),
--- a/crates/front/src/viewer.rs
+++ b/crates/front/src/viewer.rs
@@ -3,13 +3,14 @@
 use crate::boxes::spawn;
 use crate::http::{self, Bad, Request, Response};
 use crate::hub::{News, Reply, Ticket};
+use crate::watch::{Patience, Watched};
 use crate::{answer, Shared};
 use may::net::{TcpListener, TcpStream};
 use may::sync::{mpsc, Semphore};
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::Shutdown;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use walnutline::ids::{GroupNo, ServerId, SessId, TitleId};
@@ -17,6 +18,9 @@
 use walnutline_gate::claims::Claims;
 use walnutline_gate::verdict::Refusal;
 
+/// How soon writing is tried again to a viewer who does not take its answer off.
+const WRITE_AGAIN: Duration = Duration::from_millis(5);
+
 /// What the answering coroutine of a connection is told.
 pub enum Msg {
     Request(Request),
@@ -51,76 +55,78 @@
     Ok(())
 }
 
-fn accepted(shared: &Arc<Shared>, names: &Arc<Names>, mut stream: TcpStream) {
+fn accepted(shared: &Arc<Shared>, names: &Arc<Names>, stream: TcpStream) {
     let open = shared.connections.fetch_add(1, Ordering::SeqCst) + 1;
     let _ = stream.set_nodelay(true);
-    let writes = Duration::from_secs_f64(shared.viewers.write_time / 1_000.0);
-    let _ = stream.set_write_timeout(Some(writes));
-    let halves = stream.try_clone();
     let full = open > shared.viewers.connections;
-    match halves {
-        Ok(to_write) if !full => {
+    match stream.inner().try_clone() {
+        Ok(socket) if !full => {
             let (inbox, msgs) = mpsc::channel();
             let connection = Arc::new(Connection {
                 shared: shared.clone(),
                 names: names.clone(),
+                socket,
                 inbox,
                 ahead: Semphore::new(shared.viewers.pipelined),
-                waiting: AtomicUsize::new(0),
+                patience: Patience::new(shared.clock.now()),
             });
+            shared.watch.add(&connection);
             let c = connection.clone();
             spawn(move || {
-                c.answers(to_write, msgs);
+                c.answers(msgs);
                 c.shared.connections.fetch_sub(1, Ordering::SeqCst);
             });
             spawn(move || connection.reads(stream));
         }
         _ => {
-            let _ =
-                stream.write_all(&http::write(&answer::busy("too many connections", 1_000.0), false, false));
+            // Best effort, without waiting: whoever floods the front is not to hold it up.
+            let answer = http::write(&answer::busy("too many connections", 1_000.0), false, false);
+            let _ = stream.inner().write(&answer);
             shared.connections.fetch_sub(1, Ordering::SeqCst);
         }
     }
 }
 
-struct Connection {
+pub struct Connection {
     shared: Arc<Shared>,
     names: Arc<Names>,
+    /// The socket once more, for answers and for closing it: it never blocks.
+    socket: std::net::TcpStream,
     inbox: mpsc::Sender<Msg>,
     /// Leave to read one more request.
     ahead: Semphore,
-    /// Requests read and not yet answered.
-    waiting: AtomicUsize,
+    patience: Patience,
+}
+
+impl Watched for Connection {
+    fn overdue(&self, now: f64) -> bool {
+        self.patience.overdue(now, &self.shared.viewers)
+    }
+
+    fn cut(&self) {
+        let _ = self.socket.shutdown(Shutdown::Read);
+    }
 }
 
 impl Connection {
     fn reads(&self, mut stream: TcpStream) {
-        let limits = self.shared.viewers;
         let (mut buffer, mut bytes) = (Vec::new(), vec![0; 2_048]);
         loop {
             self.ahead.wait();
-            let request = self.request(&mut stream, &mut buffer, &mut bytes, &limits);
-            let last = match &request {
-                Ok(Some(r)) => !r.keep_alive,
-                _ => true,
+            let request = self.request(&mut stream, &mut buffer, &mut bytes);
+            let last = !matches!(&request, Ok(Some(r)) if r.keep_alive);
+            let msg = match request {
+                Ok(None) => break,
+                Ok(Some(r)) => Msg::Request(r),
+                Err(bad) => Msg::Bad(bad),
             };
-            match request {
-                Ok(Some(r)) => {
-                    self.waiting.fetch_add(1, Ordering::SeqCst);
-                    let _ = self.inbox.send(Msg::Request(r));
-                }
-                Ok(None) => {}
-                Err(bad) => {
-                    self.waiting.fetch_add(1, Ordering::SeqCst);
-                    let _ = self.inbox.send(Msg::Bad(bad));
-                }
-            }
+            self.patience.taken();
+            let _ = self.inbox.send(msg);
             if last {
                 break;
             }
         }
         // Until the answers are out, only the viewer's leaving is looked for.
-        let _ = stream.set_read_timeout(None);
         while matches!(stream.read(&mut bytes), Ok(n) if n > 0) {}
         let _ = self.inbox.send(Msg::Gone);
     }
@@ -131,45 +137,50 @@
         stream: &mut TcpStream,
         buffer: &mut Vec<u8>,
         bytes: &mut [u8],
-        limits: &walnutline_settings::ViewerLimits,
     ) -> Result<Option<Request>, Bad> {
-        let clock = self.shared.clock;
-        let mut since = clock.now();
         loop {
             if !buffer.is_empty() {
-                if let Some((request, used)) = http::read(buffer, limits, clock.now())? {
+                let now = self.shared.clock.now();
+                if let Some((request, used)) = http::read(buffer, &self.shared.viewers, now)? {
                     buffer.drain(..used);
+                    self.patience.begun(!buffer.is_empty(), now);
                     return Ok(Some(request));
                 }
             }
-            let allowed = if buffer.is_empty() { limits.idle } else { limits.header_time };
-            let left = since + allowed - clock.now();
-            if left <= 0.0 {
-                if self.waiting.load(Ordering::SeqCst) > 0 && buffer.is_empty() {
-                    since = clock.now();
-                    continue;
-                }
-                if buffer.is_empty() {
-                    return Ok(None);
-                }
-                return Err(Bad { status: 408, why: "the request did not come whole in time".into() });
+            let n = stream.read(bytes).unwrap_or(0);
+            if self.patience.is_over() {
+                // Cut off by the watch: in the middle of a request it is told so.
+                let why = || Bad { status: 408, why: "the request did not come whole in time".into() };
+                return if buffer.is_empty() { Ok(None) } else { Err(why()) };
             }
-            let _ = stream.set_read_timeout(Some(Duration::from_secs_f64(left / 1_000.0)));
-            match stream.read(bytes) {
-                Ok(0) => return Ok(None),
-                Ok(n) => {
-                    if buffer.is_empty() {
-                        since = clock.now();
-                    }
-                    buffer.extend_from_slice(&bytes[..n]);
+            if n == 0 {
+                return Ok(None);
+            }
+            if buffer.is_empty() {
+                self.patience.begun(true, self.shared.clock.now());
+            }
+            buffer.extend_from_slice(&bytes[..n]);
+        }
+    }
+
+    /// Writes all of an answer within the time that the settings give for it.
+    fn put(&self, bytes: &[u8]) -> bool {
+        let until = self.shared.clock.now() + self.shared.viewers.write_time;
+        let mut rest = bytes;
+        while !rest.is_empty() {
+            match (&self.socket).write(rest) {
+                Ok(n) if n > 0 => rest = &rest[n..],
+                Err(e) if e.kind() == ErrorKind::WouldBlock && self.shared.clock.now() < until => {
+                    may::coroutine::sleep(WRITE_AGAIN);
                 }
-                Err(e) if matches!(e.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock) => {}
-                Err(_) => return Ok(None),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                _ => return false,
             }
         }
+        true
     }
 
-    fn answers(&self, mut stream: TcpStream, msgs: mpsc::Receiver<Msg>) {
+    fn answers(&self, msgs: mpsc::Receiver<Msg>) {
         let mut queue: VecDeque<Result<Request, Bad>> = VecDeque::new();
         let mut out: Option<(SessId, Request)> = None;
         while let Ok(msg) = msgs.recv() {
@@ -185,7 +196,7 @@
                 Msg::Answer(id, reply) if out.as_ref().is_some_and(|(of, _)| *of == id) => {
                     let request = out.take().expect("just seen").1;
                     let response = answer::write(&self.shared, &reply);
-                    let open = self.send(&mut stream, &response, &request);
+                    let open = self.send(&response, &request);
                     self.shared.in_hand.fetch_sub(1, Ordering::SeqCst);
                     open
                 }
@@ -194,7 +205,7 @@
                     // A viewer that only closed its sending half still gets an answer, though not a session.
                     if let Some((id, request)) = out.take() {
                         let _ = self.shared.hub.send(News::Left(id));
-                        self.send(&mut stream, &answer::busy("the viewer left", 0.0), &request);
+                        self.send(&answer::busy("the viewer left", 0.0), &request);
                         self.shared.in_hand.fetch_sub(1, Ordering::SeqCst);
                     }
                     false
@@ -208,7 +219,7 @@
                 let closes = match next {
                     Err(bad) => {
                         let response = Response::plain(bad.status, &bad.why);
-                        let _ = stream.write_all(&http::write(&response, false, false));
+                        self.put(&http::write(&response, false, false));
                         true
                     }
                     Ok(request) => match self.begin(&request) {
@@ -216,24 +227,24 @@
                             out = Some((id, request));
                             false
                         }
-                        Begun::Answered(response) => !self.send(&mut stream, &response, &request),
+                        Begun::Answered(response) => !self.send(&response, &request),
                     },
                 };
                 if closes {
-                    let _ = stream.shutdown(Shutdown::Both);
+                    let _ = self.socket.shutdown(Shutdown::Both);
                     return;
                 }
             }
         }
-        let _ = stream.shutdown(Shutdown::Both);
+        let _ = self.socket.shutdown(Shutdown::Both);
     }
 
     /// Writes an answer; whether the connection stays open after it.
-    fn send(&self, stream: &mut TcpStream, response: &Response, request: &Request) -> bool {
+    fn send(&self, response: &Response, request: &Request) -> bool {
         let keep = request.keep_alive && !self.shared.stopping.load(Ordering::SeqCst);
         let bytes = http::write(response, request.method == "HEAD", keep);
-        let sent = stream.write_all(&bytes).is_ok();
-        self.waiting.fetch_sub(1, Ordering::SeqCst);
+        let sent = self.put(&bytes);
+        self.patience.answered(self.shared.clock.now());
         self.ahead.post();
         sent && keep
     }
