--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,4 +1,5 @@
 //! The `walnutline` command.
+mod bench;
 mod front;
 mod token;
 
@@ -27,6 +28,9 @@
     Token(token::Command),
     /// Play a script of trouble on a depot of stand-ins and judge it from the sockets.
     Rehearse(walnutline_rehearsal::play::Args),
+    /// Measure; long, and no part of CI.
+    #[command(subcommand)]
+    Bench(bench::Command),
     /// Judge the records of a rehearsal again.
     Audit { records: PathBuf },
 }
@@ -39,6 +43,7 @@
         Command::Check { file } => front::check(&file),
         Command::Token(command) => token::run(command),
         Command::Rehearse(args) => walnutline_rehearsal::play::run(args),
+        Command::Bench(command) => bench::run(command),
         Command::Audit { records } => walnutline_rehearsal::audit::run(&records),
     };
     match done {
--- /dev/null
+++ b/crates/front/tests/stack.rs
@@ -0,0 +1,58 @@
+//! The stack that a coroutine needs for its deepest work: the token of the greatest nesting that is read, the
+//! longest proof, a manifest of a long ladder. All of it has to fit a quarter of the daemon's stack, in the
+//! unoptimised build too, which takes more.
+use may::coroutine::Builder;
+use walnutline_dash::{mpd, proof, to_base64, token, SigningKey};
+use walnutline_gate::claims::{Claims, Proof};
+use walnutline_gate::keys::Miss;
+
+fn claims() -> Claims {
+    Claims {
+        id: vec![1; 16],
+        path: "/m/a.mpd".into(),
+        group: "g".repeat(60),
+        holders: (0..200).collect(),
+        top: Some(1),
+        tenant: Some("t".into()),
+        not_before: Some(1.0),
+        expires: 2e12,
+        viewer_key: SigningKey::from_bytes(&[3; 32]).verifying_key().to_bytes(),
+    }
+}
+
+#[test]
+fn the_deepest_work_fits_a_quarter_of_the_stack() {
+    let work = || {
+        let (issuer, viewer) = (SigningKey::from_bytes(&[1; 32]), SigningKey::from_bytes(&[3; 32]));
+        let text = token::mint(&claims(), b"k1", &issuer);
+        token::open(&text, |_| Ok(issuer.verifying_key())).unwrap();
+        for head in [0x81u8, 0xa1, 0xc1, 0x9f, 0x5f] {
+            let deep = to_base64(&vec![head; token::LONGEST * 3 / 4]);
+            assert!(token::open(&deep, |_| Err(Miss::Unknown)).is_err());
+        }
+        let made = Proof {
+            key: claims().viewer_key,
+            id: "j".repeat(900),
+            method: "GET".into(),
+            url: "http://f/m/a.mpd".into(),
+            issued: 1.0,
+            token_hash: [0; 32],
+        };
+        proof::open(&proof::mint(&made, &viewer)).unwrap();
+        let told = mpd::Told {
+            title: "a",
+            base_url: "http://b/".into(),
+            location: "http://f/".into(),
+            started: 1.0,
+            published: 1.0,
+            update_period: 1.0,
+            segment: 1.0,
+            rungs: (0..64).map(|r| (r, 100.0)).collect(),
+        };
+        mpd::write(&told).unwrap();
+    };
+    let quarter = walnutline_front::STACK_WORDS / 4;
+    // An overflow hits the guard page and ends the test's process.
+    let coroutine = unsafe { Builder::new().stack_size(quarter).spawn(work) }.unwrap();
+    coroutine.join().unwrap();
+}
--- a/crates/rehearsal/src/audit.rs
+++ b/crates/rehearsal/src/audit.rs
@@ -102,6 +102,7 @@
     let mut not_ready: HashMap<(u32, u32), f64> = HashMap::new();
     let mut taken: HashMap<u32, Vec<f64>> = HashMap::new();
     let mut further: HashMap<u32, Vec<f64>> = HashMap::new();
+    let mut down: BTreeSet<u32> = BTreeSet::new();
     let (mut shares, mut played) = ((0.0, 0usize), Vec::new());
     let mut breaks: Vec<Break> = Vec::new();
     for Record { at, seen } in records {
@@ -110,7 +111,10 @@
             Seen::Asked { viewer, req, front, group, wait, .. } => {
                 let group = group_no(&group)?;
                 taken.entry(front).or_default().push(at);
-                requests.insert(req, Request { at, viewer, front, group, wait, ..Request::default() });
+                // What reaches a front after its killing was never taken by a running one.
+                let excused = down.contains(&front);
+                requests
+                    .insert(req, Request { at, viewer, front, group, wait, excused, ..Request::default() });
             }
             Seen::Answered { req, status, session, server } => {
                 let Some(r) = requests.get_mut(&req) else {
@@ -228,7 +232,11 @@
                     s.at.remove(&server);
                 }
             }
+            Seen::FrontUp { front } => {
+                down.remove(&front);
+            }
             Seen::FrontDown { front } => {
+                down.insert(front);
                 for r in requests.values_mut().filter(|r| r.front == front && r.answers.is_empty()) {
                     r.excused = true;
                 }
@@ -237,7 +245,7 @@
                 // The one that starts after it holds nothing of what this one held.
                 sessions.values_mut().filter(|s| s.front == front).for_each(|s| s.at.clear());
             }
-            Seen::Terms(_) | Seen::BoxUp { .. } | Seen::FrontUp { .. } | Seen::Trouble { .. } => {}
+            Seen::Terms(_) | Seen::BoxUp { .. } | Seen::Trouble { .. } => {}
         }
     }
     for (no, r) in &requests {
--- a/crates/rehearsal/src/play.rs
+++ b/crates/rehearsal/src/play.rs
@@ -47,7 +47,7 @@
 const FRONT_UP: Duration = Duration::from_secs(10);
 
 /// The depot's terms: what the fronts' documents and the auditor say alike.
-fn kind(script: &Script) -> Kind {
+pub fn kind(script: &Script) -> Kind {
     Kind {
         streams: 40,
         link_kb: 12_000.0,
@@ -61,7 +61,7 @@
     }
 }
 
-fn terms() -> Terms {
+pub fn terms() -> Terms {
     let group = |name: &str, start_target, patience, utility| GroupTerms {
         name: name.into(),
         start_target,
@@ -84,7 +84,8 @@
     }
 }
 
-fn document(script: &Script, kind: &Kind, terms: &Terms, list: SocketAddr, front: u32) -> String {
+/// The settings document of one front of a depot.
+pub fn document(script: &Script, kind: &Kind, terms: &Terms, list: SocketAddr, front: u32) -> String {
     let mut text = format!("listen \"127.0.0.1:0\"\nlist \"http://{list}/boxes/{front}\"\n");
     text +=
         &format!("fronts {}\nseed {}\nladder {{\n", script.fronts, script.seed * 1_000 + u64::from(front));
@@ -120,10 +121,10 @@
 }
 
 /// Files of one rehearsal, gone with it.
-struct Folder(PathBuf);
+pub struct Folder(pub PathBuf);
 
 impl Folder {
-    fn new() -> Result<Self, String> {
+    pub fn new() -> Result<Self, String> {
         let unique = Instant::now();
         let name = format!("walnutline-rehearsal-{}-{unique:?}", std::process::id());
         let name: String = name.chars().filter(|c| c.is_ascii_alphanumeric() || *c == '-').collect();
@@ -132,7 +133,7 @@
         Ok(Folder(path))
     }
 
-    fn write(&self, name: &str, text: &str) -> Result<PathBuf, String> {
+    pub fn write(&self, name: &str, text: &str) -> Result<PathBuf, String> {
         let path = self.0.join(name);
         std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
         Ok(path)
