--- a/crates/rehearsal/src/audit.rs
+++ b/crates/rehearsal/src/audit.rs
@@ -237,7 +237,9 @@
             }
             Seen::FrontDown { front } => {
                 down.insert(front);
-                for r in requests.values_mut().filter(|r| r.front == front && r.answers.is_empty()) {
+                // Only what it still had time for: an answer that was overdue by then stays owed.
+                let open = |r: &&mut Request| r.front == front && r.answers.is_empty() && at < r.at + r.wait;
+                for r in requests.values_mut().filter(open) {
                     r.excused = true;
                 }
                 taken.remove(&front);
