--- a/crates/cli/tests/rehearsal.rs
+++ b/crates/cli/tests/rehearsal.rs
@@ -23,9 +23,9 @@
     let (good, again) = command(&["audit", records.to_str().unwrap()]);
     assert!(good, "{again}");
     assert_eq!(verdict(&again), verdict(&text));
-    // Without a front's answer to one request they do not.
+    // Without a front's answer to one request, the last, they do not.
     let all = std::fs::read_to_string(&records).unwrap();
-    let answer = all.lines().find(|l| l.contains("\"saw\":\"answered\"")).unwrap();
+    let answer = all.lines().rfind(|l| l.contains("\"saw\":\"answered\"")).unwrap();
     std::fs::write(&records, all.replacen(&format!("{answer}\n"), "", 1)).unwrap();
     let (good, broken) = command(&["audit", records.to_str().unwrap()]);
     std::fs::remove_file(&records).unwrap();
--- a/crates/rehearsal/src/audit/tests.rs
+++ b/crates/rehearsal/src/audit/tests.rs
@@ -92,6 +92,8 @@
     assert_eq!(broken(drained), NONE);
     assert_eq!(broken(vec![(1.0, asked(1, "any")), (2.0, Seen::FrontDown { front: 0 })]), NONE);
     assert_eq!(broken(vec![(1.0, asked(1, "any")), (2.0, Seen::Left { req: 1 })]), NONE);
+    let overdue = vec![(1.0, asked(1, "any")), (3_100.0, Seen::FrontDown { front: 0 })];
+    assert_eq!(broken(overdue), [1], "owed before the front died");
     let dead =
         vec![(1.0, Seen::FrontDown { front: 0 }), (2.0, asked(1, "any")), (3.0, Seen::FrontUp { front: 0 })];
     assert_eq!(broken(dead.clone()), NONE);
--- a/crates/rehearsal/src/boxes.rs
+++ b/crates/rehearsal/src/boxes.rs
@@ -207,14 +207,10 @@
                 };
                 let session = front_session;
                 let group_name = group.clone();
-                self.common.depot.seen.saw(Seen::Setup {
-                    server: self.server,
-                    front,
-                    session,
-                    title,
-                    group,
-                    rung,
-                });
+                let seen = Seen::Setup { server: self.server, front, session, title, group, rung };
+                if !self.common.depot.saw(self.server, self.generation, seen) {
+                    return;
+                }
                 let (conn, writer) = (self.clone(), writer.clone());
                 spawn(move || conn.set_up(cseq, session, &group_name, rung, &writer));
             }
@@ -333,7 +329,13 @@
             return;
         }
         // Seen before it is sent: what a front does on it must not be recorded earlier.
-        depot.seen.saw(Seen::SetupDone { server: self.server, session: id, status });
+        if !depot.saw(
+            self.server,
+            self.generation,
+            Seen::SetupDone { server: self.server, session: id, status },
+        ) {
+            return;
+        }
         let session = (status == 200).then_some(name.clone());
         self.say(writer, &Message::Reply { cseq, status, session, figures: Vec::new() });
         if let Some(lasts) = self.common.sessions_last.filter(|_| status == 200) {
--- a/crates/rehearsal/src/depot.rs
+++ b/crates/rehearsal/src/depot.rs
@@ -128,6 +128,17 @@
         b.alive && b.generation == generation
     }
 
+    /// Records what a process saw; `false` where it had died by then, and saw nothing.
+    pub fn saw(&self, server: u32, generation: u64, seen: Seen) -> bool {
+        let inside = self.lock();
+        let b = &inside.boxes[server as usize];
+        let alive = b.alive && b.generation == generation;
+        if alive {
+            self.seen.saw(seen);
+        }
+        alive
+    }
+
     /// Load figures as a probe hears them: as late as reports are.
     pub fn report(&self, server: u32) -> Figures {
         let now = self.seen.now();
