--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -3,7 +3,9 @@
 //!
 //! - [`script`]: the language of bad days. [`play`]: a day played on a depot with real fronts.
 //! - [`depot`]: what boxes are and carry. [`boxes`], [`list`], [`viewers`]: their sockets.
+//! - [`alone`]: the stand-ins one by one.
 //! - [`record`]: what was seen. [`audit`]: the rules and the service, judged from that alone.
+pub mod alone;
 pub mod audit;
 pub mod boxes;
 pub mod depot;
--- a/crates/rehearsal/src/play.rs
+++ b/crates/rehearsal/src/play.rs
@@ -26,9 +26,10 @@
     /// Where the records go; else they are dropped with the day's other files.
     #[arg(long)]
     records: Option<PathBuf>,
-    /// Viewers' tokens name one holder drawn by chance, so that the fronts have no choice: a baseline.
+    /// Play the day a second time as a baseline: viewers' tokens name one holder drawn by chance, so that the
+    /// fronts have no choice.
     #[arg(long)]
-    random_holder: bool,
+    baseline: bool,
     /// Another seed than the script's.
     #[arg(long)]
     seed: Option<u64>,
@@ -183,15 +184,21 @@
     let text = std::fs::read_to_string(&args.script).map_err(|e| format!("{file}: {e}"))?;
     let mut script = script::parse(&file, &text)?;
     script.seed = args.seed.unwrap_or(script.seed);
-    let verdict = play(script, args.records.as_deref(), args.random_holder)?;
+    let verdict = play(script.clone(), args.records.as_deref(), false)?;
     audit::print(&verdict);
+    if args.baseline {
+        let random = play(script, None, true)?;
+        println!("\nbaseline of random holders:");
+        audit::print(&random);
+        println!("\nservice {:.3}, of random holders {:.3}", verdict.service, random.service);
+    }
     match verdict.breaks.len() {
         0 => Ok(()),
         n => Err(format!("{n} breaks of rules")),
     }
 }
 
-/// Plays a day and judges it. `random_holder`: see [`Args`].
+/// Plays a day and judges it. `random_holder`: tokens name one holder, drawn by chance.
 pub fn play(script: Script, records: Option<&Path>, random_holder: bool) -> Result<audit::Verdict, String> {
     may::config().set_workers(2).set_stack_size(0x8000);
     let folder = Folder::new()?;
