The coroutine library is built without its time-outs and cancelling

The library's timers point into sockets that may be gone, and cancelling unwinds into them. Both features are off now: the desk times the opening of connections, the hub shuts sockets, a thread follows the list, the kit's reads are cut by a thread.

--- a/crates/desk/src/live.rs
+++ b/crates/desk/src/live.rs
@@ -199,7 +199,7 @@
         let Some(link) = self.links.get_mut(&server) else { return };
         let conn = link.connect();
         link.heard_at = now;
-        self.timers.set(now + 2.0 * self.waits.connect, Due::Connecting { server, conn });
+        self.timers.set(now + self.waits.connect, Due::Connecting { server, conn });
         self.dos.push(Do::Connect { server, conn, address: link.address });
     }
 
@@ -484,7 +484,7 @@
                     self.connect(server, now);
                 }
             }
-            // Whoever opens connections keeps to the time itself; this guards against one that says nothing.
+            // What opens after this is not wanted any more.
             Due::Connecting { server, conn } => {
                 let connecting = State::Connecting { conn };
                 if self.links.get(&server).is_some_and(|l| l.state == connecting) {
--- a/crates/front/src/boxes.rs
+++ b/crates/front/src/boxes.rs
@@ -8,10 +8,9 @@
 use std::net::{Shutdown, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
 use walnutline::ids::ServerId;
 use walnutline_control::rtsp::{self, Ask, Message, Reader};
-use walnutline_desk::live::{FromBox, Outcome, Report, ToBox, Waits};
+use walnutline_desk::live::{FromBox, Outcome, Report, ToBox};
 
 pub enum Out {
     Ask {
@@ -23,8 +22,19 @@
         cseq: u32,
         status: u16,
     },
-    /// The connection is to be closed.
-    Close,
+}
+
+/// The hub's end of an open connection.
+pub struct Line {
+    pub out: mpsc::Sender<Out>,
+    /// The socket once more, to shut it whatever its coroutines wait for.
+    pub socket: std::net::TcpStream,
+}
+
+impl Line {
+    pub fn shut(&self) {
+        let _ = self.socket.shutdown(Shutdown::Both);
+    }
 }
 
 /// How far writing has come. Both sides look at both: what the reader reports as not begun is never written
@@ -35,15 +45,15 @@
     closed: AtomicBool,
 }
 
-pub fn connect(shared: Arc<Shared>, server: ServerId, conn: u64, address: SocketAddr, waits: Waits) {
+/// Opens a connection. No time-out here or at writing: the desk gives up on what takes too long, and the hub then
+/// shuts the socket.
+pub fn connect(shared: Arc<Shared>, server: ServerId, conn: u64, address: SocketAddr) {
     let run = move || {
-        let within = Duration::from_secs_f64(waits.connect / 1_000.0);
-        let opened = TcpStream::connect_timeout(&address, within).and_then(|s| {
+        let opened = TcpStream::connect(address).and_then(|s| {
             s.set_nodelay(true)?;
-            s.set_write_timeout(Some(Duration::from_secs_f64(waits.silence / 1_000.0)))?;
-            Ok((s.try_clone()?, s))
+            Ok((s.inner().try_clone()?, s.try_clone()?, s))
         });
-        let (to_write, to_read) = match opened {
+        let (to_shut, to_write, to_read) = match opened {
             Ok(halves) => halves,
             Err(e) => {
                 tracing::debug!(server = server.0, %address, "no control connection: {e}");
@@ -53,7 +63,11 @@
         };
         let (out, outs) = mpsc::channel();
         let progress = Arc::new(Progress::default());
-        let _ = shared.hub.send(News::Connected { server, conn, out: out.clone() });
+        let _ = shared.hub.send(News::Connected {
+            server,
+            conn,
+            line: Line { out: out.clone(), socket: to_shut },
+        });
         let (s, p) = (shared.clone(), progress.clone());
         spawn(move || write(&s, server, address, to_write, outs, &p));
         let why = read(&shared, server, conn, to_read, out);
@@ -86,10 +100,6 @@
         let mut bytes = Vec::new();
         for out in std::iter::once(first).chain(outs.try_iter().take(63)) {
             let message = match out {
-                Out::Close => {
-                    let _ = stream.shutdown(Shutdown::Both);
-                    return;
-                }
                 Out::Reply { cseq, status } => {
                     Message::Reply { cseq, status, session: None, figures: Vec::new() }
                 }
--- a/crates/front/src/hub.rs
+++ b/crates/front/src/hub.rs
@@ -1,6 +1,6 @@
 //! The one thread that owns the live desk. Coroutines send it events by a channel; it hands out what the desk
 //! answers: messages to boxes' writers, answers to viewers' connections.
-use crate::boxes::{self, Out};
+use crate::boxes::{self, Line, Out};
 use crate::clock::Clock;
 use crate::viewer::Msg;
 use crate::Shared;
@@ -70,7 +70,7 @@
     Connected {
         server: ServerId,
         conn: u64,
-        out: may::sync::mpsc::Sender<Out>,
+        line: Line,
     },
     NotConnected {
         server: ServerId,
@@ -111,8 +111,7 @@
     shared: Arc<Shared>,
     live: Live<Ticket>,
     media: HashMap<ServerId, Arc<str>>,
-    writers: HashMap<ServerId, (u64, may::sync::mpsc::Sender<Out>)>,
-    waits: Waits,
+    lines: HashMap<ServerId, (u64, Line)>,
 }
 
 pub fn start(
@@ -123,11 +122,26 @@
     seed: u64,
 ) -> io::Result<()> {
     let live = Live::new(terms, waits, seed, shared.clock.now());
-    let mut hub = Hub { shared, live, media: HashMap::new(), writers: HashMap::new(), waits };
-    std::thread::Builder::new().name("hub".into()).spawn(move || hub.run(news))?;
+    let mut hub = Hub { shared, live, media: HashMap::new(), lines: HashMap::new() };
+    std::thread::Builder::new().name("hub".into()).spawn(move || {
+        let _guard = Guard;
+        hub.run(news)
+    })?;
     Ok(())
 }
 
+/// Without its hub a front takes requests and answers none: better that the process ends and is started again.
+struct Guard;
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            tracing::error!("the hub broke; the front ends");
+            std::process::abort();
+        }
+    }
+}
+
 impl Hub {
     fn run(&mut self, news: Receiver<News>) {
         let clock: Clock = self.shared.clock;
@@ -165,18 +179,18 @@
                 });
                 let _ = to.send(Msg::Answer(id, plays.map_or(Reply::Over, Reply::Plays)));
             }
-            News::Connected { server, conn, out } => {
+            News::Connected { server, conn, line } => {
                 if self.live.connected(server, conn, now) {
-                    self.writers.insert(server, (conn, out));
+                    self.lines.insert(server, (conn, line));
                 } else {
-                    let _ = out.send(Out::Close);
+                    line.shut();
                 }
             }
             News::NotConnected { server, conn } => self.live.not_connected(server, conn, now),
             News::Closed { server, conn, begun } => {
                 self.live.closed(server, conn, begun, now);
-                if self.writers.get(&server).is_some_and(|(c, _)| *c == conn) {
-                    self.writers.remove(&server);
+                if self.lines.get(&server).is_some_and(|(c, _)| *c == conn) {
+                    self.lines.remove(&server);
                 }
             }
             News::Told { server, conn, told } => self.live.told(server, conn, told, now),
@@ -198,18 +212,18 @@
     fn perform(&mut self, what: Do<Ticket>) {
         match what {
             Do::Connect { server, conn, address } => {
-                boxes::connect(self.shared.clone(), server, conn, address, self.waits)
+                boxes::connect(self.shared.clone(), server, conn, address)
             }
             Do::Close { server, conn } => {
-                if let Some((_, out)) = self.writers.get(&server).filter(|(c, _)| *c == conn) {
-                    let _ = out.send(Out::Close);
-                    self.writers.remove(&server);
+                if let Some((_, line)) = self.lines.get(&server).filter(|(c, _)| *c == conn) {
+                    line.shut();
+                    self.lines.remove(&server);
                 }
             }
             Do::Send { server, conn, cseq, what } => {
-                if let Some((c, out)) = self.writers.get(&server) {
+                if let Some((c, line)) = self.lines.get(&server) {
                     if *c == conn {
-                        let _ = out.send(Out::Ask { cseq, what });
+                        let _ = line.out.send(Out::Ask { cseq, what });
                     }
                 }
             }
--- a/crates/front/src/list.rs
+++ b/crates/front/src/list.rs
@@ -1,10 +1,9 @@
-//! Follows the list of boxes: one coroutine that opens the event stream, resumes it and hands lists on.
-use crate::boxes::spawn;
+//! Follows the list of boxes: one thread that opens the event stream, resumes it and hands lists on. A thread, since
+//! its reads need time-outs of their own.
 use crate::hub::News;
 use crate::Shared;
-use may::net::TcpStream;
 use std::io::{self, Read, Write};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
 use walnutline::fleet::{Listed, Listing};
@@ -19,7 +18,7 @@
 const HEADER: usize = 16 * 1024;
 
 pub fn start(shared: Arc<Shared>, at: SocketAddr, path: String, waits: Waits, seed: u64) -> io::Result<()> {
-    spawn(move || {
+    let follow_it = move || {
         let (mut follow, mut retry, mut rng) =
             (Follow::default(), Retry::default(), fastrand::Rng::with_seed(seed.rotate_left(32)));
         loop {
@@ -29,9 +28,10 @@
             };
             let wait = retry.failed(&mut rng);
             tracing::info!(target: "walnutline::mode", "list away why={why:?} again_in={wait:.0}");
-            may::coroutine::sleep(Duration::from_secs_f64(wait / 1_000.0));
+            std::thread::sleep(Duration::from_secs_f64(wait / 1_000.0));
         }
-    });
+    };
+    std::thread::Builder::new().name("list".into()).spawn(follow_it)?;
     Ok(())
 }
 
--- a/crates/rehearsal/src/boxes.rs
+++ b/crates/rehearsal/src/boxes.rs
@@ -1,6 +1,6 @@
 //! Stand-in boxes on sockets: RTSP 2.0 control for fronts, segments over HTTP for viewers.
 use crate::depot::{Depot, Session};
-use crate::net::{header, read_head, sleep, spawn, within};
+use crate::net::{header, read_head, sleep, spawn};
 use crate::record::Seen;
 use may::net::{TcpListener, TcpStream};
 use may::sync::Mutex;
@@ -389,7 +389,6 @@
 
     fn media(self, mut stream: TcpStream) {
         let mut buffer = Vec::new();
-        let _ = stream.set_read_timeout(Some(within(UNWATCHED * 2.0)));
         while let Ok(Some(head)) = read_head(&mut stream, &mut buffer) {
             if !self.awake() {
                 break;
--- a/crates/rehearsal/src/net.rs
+++ b/crates/rehearsal/src/net.rs
@@ -1,8 +1,12 @@
-//! Small things that the stand-ins' sockets share.
+//! Small things that the stand-ins' sockets share. The coroutine library's own time-outs of reads are not used: with many
+//! of them it lost some, and its heap was found corrupted.
 use may::coroutine::JoinHandle;
 use may::net::TcpStream;
-use std::io::{self, Read};
-use std::time::Duration;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, Once, Weak};
+use std::time::{Duration, Instant};
 
 pub fn spawn(run: impl FnOnce() + Send + 'static) -> Option<JoinHandle<()>> {
     // Sound here: coroutines of this crate keep no thread-local state across a point where they yield.
@@ -15,12 +19,90 @@
     may::coroutine::sleep(Duration::from_secs_f64(ms.max(0.0) / 1_000.0));
 }
 
-pub fn within(ms: f64) -> Duration {
-    Duration::from_secs_f64(ms.max(1.0) / 1_000.0)
+/// A socket whose reads end at a stated time: one thread shuts what is due, for good.
+pub struct Timed {
+    pub stream: TcpStream,
+    cut: Arc<Cut>,
+}
+
+struct Cut {
+    socket: std::net::TcpStream,
+    due: Mutex<Option<Instant>>,
+    over: AtomicBool,
+}
+
+static CUTS: Mutex<Vec<Weak<Cut>>> = Mutex::new(Vec::new());
+static WATCH: Once = Once::new();
+
+fn watch() {
+    std::thread::spawn(|| loop {
+        std::thread::sleep(Duration::from_millis(2));
+        let now = Instant::now();
+        CUTS.lock().unwrap_or_else(|e| e.into_inner()).retain(|cut| {
+            let Some(cut) = cut.upgrade() else { return false };
+            let mut due = cut.due.lock().unwrap_or_else(|e| e.into_inner());
+            if due.is_some_and(|t| t <= now) {
+                *due = None;
+                cut.over.store(true, Ordering::SeqCst);
+                let _ = cut.socket.shutdown(Shutdown::Read);
+            }
+            true
+        });
+    });
+}
+
+impl Timed {
+    pub fn new(stream: TcpStream) -> io::Result<Self> {
+        WATCH.call_once(watch);
+        let socket = stream.inner().try_clone()?;
+        let cut = Arc::new(Cut { socket, due: Mutex::new(None), over: AtomicBool::new(false) });
+        CUTS.lock().unwrap_or_else(|e| e.into_inner()).push(Arc::downgrade(&cut));
+        Ok(Timed { stream, cut })
+    }
+
+    pub fn connect(to: &SocketAddr) -> io::Result<Self> {
+        Timed::new(TcpStream::connect(to)?)
+    }
+
+    /// Reads fail from then on.
+    pub fn reads_within(&self, ms: f64) {
+        let due = Instant::now() + Duration::from_secs_f64(ms.max(0.0) / 1_000.0);
+        *self.cut.due.lock().unwrap_or_else(|e| e.into_inner()) = Some(due);
+    }
+
+    pub fn reads_freely(&self) {
+        *self.cut.due.lock().unwrap_or_else(|e| e.into_inner()) = None;
+    }
+
+    /// Whether something stands there unread.
+    pub fn has_more(&self) -> bool {
+        let mut socket = self.stream.inner();
+        matches!(socket.read(&mut [0; 16]), Ok(n) if n > 0)
+    }
+}
+
+impl Read for Timed {
+    fn read(&mut self, buf: &mut [u8]) -> io::Result<usize> {
+        let n = self.stream.read(buf)?;
+        if self.cut.over.load(Ordering::SeqCst) {
+            return Err(ErrorKind::TimedOut.into());
+        }
+        Ok(n)
+    }
+}
+
+impl Write for Timed {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.stream.write(buf)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.stream.flush()
+    }
 }
 
 /// The head of an HTTP message and what was read beyond it. `None`: the connection ended before.
-pub fn read_head(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> io::Result<Option<String>> {
+pub fn read_head(stream: &mut impl Read, buffer: &mut Vec<u8>) -> io::Result<Option<String>> {
     let mut bytes = [0; 2_048];
     loop {
         if let Some(end) = buffer.windows(4).position(|w| w == b"\r\n\r\n") {
@@ -44,7 +126,7 @@
 }
 
 /// Reads a body of its stated length.
-pub fn read_body(stream: &mut TcpStream, buffer: &mut Vec<u8>, head: &str) -> io::Result<Vec<u8>> {
+pub fn read_body(stream: &mut impl Read, buffer: &mut Vec<u8>, head: &str) -> io::Result<Vec<u8>> {
     let len = header(head, "Content-Length").and_then(|v| v.parse::<usize>().ok()).unwrap_or(0);
     let mut bytes = vec![0; 16_384];
     while buffer.len() < len {
--- a/crates/rehearsal/src/viewers.rs
+++ b/crates/rehearsal/src/viewers.rs
@@ -1,12 +1,11 @@
 //! Stand-in viewers: they come by a seeded distribution, ask with a token and proof of their own, watch segments at
 //! the rate they get, come again or stay away.
-use crate::net::{header, read_body, read_head, sleep, spawn, within};
+use crate::net::{header, read_body, read_head, sleep, spawn, Timed};
 use crate::record::{GroupTerms, Recorder, Seen};
-use may::net::TcpStream;
 use rand::rngs::StdRng;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp, Zipf};
-use std::io::{self, ErrorKind, Read, Write};
+use std::io::{self, ErrorKind, Write};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -179,7 +178,7 @@
             at < 0.0
         });
         let Some((front, address, _)) = front else { return End::Again(0.0) };
-        let Ok(mut stream) = TcpStream::connect_timeout(address, within(1_000.0)) else {
+        let Ok(mut stream) = Timed::connect(address) else {
             return End::Again(0.0);
         };
         let url = format!("http://{address}{}", claims.path);
@@ -213,12 +212,13 @@
         }
         let early = rng.random_bool(LEAVES_EARLY);
         let wait = if early { rng.random_range(1.0..20.0) } else { group.patience };
-        let _ = stream.set_read_timeout(Some(within(wait)));
+        stream.reads_within(wait);
         let mut buffer = Vec::new();
         let answer = read_head(&mut stream, &mut buffer).and_then(|head| match head {
             Some(head) => Ok(Some((read_body(&mut stream, &mut buffer, &head)?, head))),
             None => Ok(None),
         });
+        stream.reads_freely();
         let (body, head) = match answer {
             Ok(Some(answer)) => answer,
             Err(e) if matches!(e.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock) => {
@@ -245,10 +245,9 @@
         };
         let mut stream = Some(stream);
         let end = self.watch(&mut stream, &mut buffer, plays, id, server, length);
-        let Some(mut stream) = stream else { return end };
+        let Some(stream) = stream else { return end };
         // Whatever else came on this connection was not asked for.
-        let _ = stream.set_read_timeout(Some(within(1.0)));
-        if !buffer.is_empty() || matches!(stream.read(&mut [0; 16]), Ok(n) if n > 0) {
+        if !buffer.is_empty() || stream.has_more() {
             self.seen.saw(Seen::Again { req });
         }
         end
@@ -257,7 +256,7 @@
     /// Watches segment by segment, renewing the manifest as it says.
     fn watch(
         &self,
-        front: &mut Option<TcpStream>,
+        front: &mut Option<Timed>,
         buffer: &mut Vec<u8>,
         mut plays: mpd::Mpd,
         session: u64,
@@ -265,16 +264,16 @@
         length: &mut f64,
     ) -> End {
         let Some((host, base)) = split_url(&plays.base_url) else { return End::Again(0.0) };
-        let Ok(mut media) = TcpStream::connect_timeout(&host, within(1_000.0)) else {
+        let Ok(mut media) = Timed::connect(&host) else {
             return End::Again(0.0);
         };
-        let _ = media.set_read_timeout(Some(within(self.segment * 10.0)));
         let update = mpd::read_duration(&plays.minimum_update_period).unwrap_or(2_000.0);
         let (mut renewed, mut in_buffer, mut short) = (self.seen.now(), Vec::new(), 0);
         let mut number = 1;
         while *length > 0.0 {
             let began = self.seen.now();
             let Some(rep) = plays.period.set.representations.last() else { return End::Again(0.0) };
+            media.reads_within(self.segment * 10.0);
             let ask = format!("GET {base}{}/{number}.m4s HTTP/1.1\r\nHost: {host}\r\n\r\n", rep.id);
             let got = media.write_all(ask.as_bytes()).and_then(|()| read_head(&mut media, &mut in_buffer));
             let Ok(Some(head)) = got else { return End::Again(0.0) };
@@ -306,12 +305,13 @@
 }
 
 /// Fetches the renewed manifest; none once the session is over.
-fn renew(front: &mut TcpStream, buffer: &mut Vec<u8>, location: &str) -> io::Result<Option<mpd::Mpd>> {
+fn renew(front: &mut Timed, buffer: &mut Vec<u8>, location: &str) -> io::Result<Option<mpd::Mpd>> {
     let (host, path) = split_url(location).ok_or_else(|| io::Error::other("no location"))?;
-    front.set_read_timeout(Some(within(1_000.0)))?;
+    front.reads_within(1_000.0);
     front.write_all(format!("GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n").as_bytes())?;
     let head = read_head(front, buffer)?.ok_or(ErrorKind::UnexpectedEof)?;
     let body = read_body(front, buffer, &head)?;
+    front.reads_freely();
     Ok(if head.contains(" 200 ") { mpd::read(&String::from_utf8_lossy(&body)).ok() } else { None })
 }
 
