A viewer who left while its answer was under way leaves no session; moved boxes start clean

A viewer who left after its SETUP was done and before the answer reached it left a session at the box until the box noticed. A box listed at another address was judged for the break of its old connections, set aside and taken as cold, since the list was applied first.

Such a session is torn down, also when writing the answer fails; one who asked for a renewed manifest keeps its session. Old connections end before the decisions hear of the new process.

--- a/crates/desk/src/live.rs
+++ b/crates/desk/src/live.rs
@@ -100,11 +100,17 @@
         self.settle(now);
     }
 
-    /// The viewer left before its answer: its SETUP, if one is out, is not waited for.
+    /// The viewer left before its answer reached it: its SETUP, if one is out, is not waited for; a session that
+    /// plays already, the answer being on its way, is torn down.
     pub fn left(&mut self, id: SessId, now: Ms) {
         let Some(s) = self.sess.get_mut(&id) else { return };
-        if !s.owed {
-            return;
+        if let Some((server, session)) = s.plays.clone() {
+            if let Some(conn) = self.links.get_mut(&server).and_then(|l| l.session_over(&session).and(l.up()))
+            {
+                self.send(server, conn, Asked::Other, ToBox::Teardown { session });
+            }
+            self.over(id, Ending::Withdrawn, now);
+            return self.settle(now);
         }
         s.owed = false;
         let out = s.out.take();
@@ -132,6 +138,7 @@
     // ---- the list ----
 
     pub fn listed_all(&mut self, lines: Vec<BoxLine>, now: Ms) {
+        lines.iter().for_each(|line| self.moved(line, now));
         self.desk.listed_all(lines.iter().map(|l| l.listed.clone()).collect());
         self.links.values_mut().for_each(|link| link.listing = Listing::Gone);
         lines.into_iter().for_each(|line| self.line(line, now));
@@ -142,6 +149,7 @@
 
     pub fn listed(&mut self, lines: Vec<BoxLine>, now: Ms) {
         for line in lines {
+            self.moved(&line, now);
             self.desk.listed(line.listed.clone());
             self.line(line, now);
         }
@@ -150,18 +158,22 @@
         self.settle(now);
     }
 
+    /// A box that is somewhere else is another process: what was out at the old one ends before the decisions
+    /// hear of the new one, or the new one would be judged for it.
+    fn moved(&mut self, line: &BoxLine, now: Ms) {
+        let server = line.listed.id;
+        let Some(link) = self.links.get_mut(&server).filter(|l| l.address != line.control) else { return };
+        link.address = line.control;
+        if let State::Connecting { conn } | State::Up { conn } = link.state {
+            self.dos.push(Do::Close { server, conn });
+            self.closed(server, conn, u32::MAX, now);
+        }
+    }
+
     fn line(&mut self, line: BoxLine, now: Ms) {
         let server = line.listed.id;
         let link = self.links.entry(server).or_insert_with(|| Link::new(line.control, line.listed.listing));
         link.listing = line.listed.listing;
-        if link.address != line.control {
-            link.address = line.control;
-            if let State::Connecting { conn } | State::Up { conn } = link.state {
-                self.dos.push(Do::Close { server, conn });
-                self.closed(server, conn, u32::MAX, now);
-            }
-        }
-        let link = self.links.get_mut(&server).expect("a link that was just found");
         if link.listing != Listing::Gone && matches!(link.state, State::Waiting { until } if until <= now) {
             self.connect(server, now);
         }
--- a/crates/desk/tests/live.rs
+++ b/crates/desk/tests/live.rs
@@ -438,3 +438,54 @@
     w.wait(3.0 * WAITS.silence);
     assert!(w.open.len() < open, "still open: {:?}", w.open);
 }
+
+#[test]
+fn a_viewer_who_left_while_its_answer_was_on_the_way_has_its_session_torn_down() {
+    let mut w = World::new();
+    open_all(&mut w);
+    let id = ask(&mut w);
+    let at = until_setup(&mut w, id);
+    w.happen(Event::Reply { which: at, how: 2 });
+    assert_eq!((w.live.playing(), w.playing.len()), (1, 1));
+    w.live.left(id, w.now);
+    w.attend();
+    assert_eq!((w.live.playing(), w.playing.len()), (0, 0), "a TEARDOWN was sent");
+}
+
+#[test]
+fn a_box_that_comes_back_elsewhere_is_not_judged_for_the_old_one() {
+    let mut w = World::new();
+    open_all(&mut w);
+    let id = ask(&mut w);
+    let at = until_setup(&mut w, id);
+    let server = w.out[at].0;
+    w.happen(Event::Reply { which: at, how: 2 });
+    let old = line(server, Listing::Ready);
+    let started = Some(w.now);
+    let new = BoxLine {
+        listed: Listed { started, ..old.listed },
+        control: SocketAddr::from(([127, 0, 0, 2], old.control.port())),
+    };
+    w.live.listed(vec![new], w.now);
+    w.live.attend(w.now);
+    let told: Vec<String> = w.live.take().iter().map(|d| format!("{d:?}")).collect();
+    assert!(told.iter().any(|d| d.starts_with("Close")), "{told:?}");
+    assert_eq!(w.live.playing(), 0, "what played at the old one is over");
+    // The module probes a box that it has set aside. It must not have set the new process aside.
+    let (mut connected, mut probed) = (false, false);
+    for step in 1..200 {
+        let now = w.now + 10.0 * f64::from(step);
+        w.live.attend(now);
+        for what in w.live.take() {
+            match what {
+                Do::Connect { server: s, conn, address } if s.0 == server => {
+                    assert_eq!(address.ip().to_string(), "127.0.0.2");
+                    connected = w.live.connected(s, conn, now);
+                }
+                Do::Send { server: s, what: ToBox::Probe, .. } => probed |= s.0 == server,
+                _ => {}
+            }
+        }
+    }
+    assert!(connected && !probed, "connected {connected}, probed {probed}");
+}
--- a/crates/front/src/viewer.rs
+++ b/crates/front/src/viewer.rs
@@ -182,7 +182,7 @@
 
     fn answers(&self, msgs: mpsc::Receiver<Msg>) {
         let mut queue: VecDeque<Result<Request, Bad>> = VecDeque::new();
-        let mut out: Option<(SessId, Request)> = None;
+        let mut out: Option<Waits> = None;
         while let Ok(msg) = msgs.recv() {
             let open = match msg {
                 Msg::Request(r) => {
@@ -193,19 +193,23 @@
                     queue.push_back(Err(b));
                     true
                 }
-                Msg::Answer(id, reply) if out.as_ref().is_some_and(|(of, _)| *of == id) => {
-                    let request = out.take().expect("just seen").1;
-                    let response = answer::write(&self.shared, &reply);
-                    let open = self.send(&response, &request);
-                    self.shared.in_hand.fetch_sub(1, Ordering::SeqCst);
-                    open
-                }
-                Msg::Answer(..) => true,
+                Msg::Answer(id, reply) => match out.take_if(|w| w.id == id) {
+                    Some(waits) => {
+                        let response = answer::write(&self.shared, &reply);
+                        let sent = self.send(&response, &waits.request);
+                        if sent == Sent::Failed {
+                            self.left(&waits);
+                        }
+                        self.shared.in_hand.fetch_sub(1, Ordering::SeqCst);
+                        sent == Sent::Open
+                    }
+                    None => true,
+                },
                 Msg::Gone => {
                     // A viewer that only closed its sending half still gets an answer, though not a session.
-                    if let Some((id, request)) = out.take() {
-                        let _ = self.shared.hub.send(News::Left(id));
-                        self.send(&answer::busy("the viewer left", 0.0), &request);
+                    if let Some(waits) = out.take() {
+                        self.left(&waits);
+                        self.send(&answer::busy("the viewer left", 0.0), &waits.request);
                         self.shared.in_hand.fetch_sub(1, Ordering::SeqCst);
                     }
                     false
@@ -223,11 +227,11 @@
                         true
                     }
                     Ok(request) => match self.begin(&request) {
-                        Begun::Waits(id) => {
-                            out = Some((id, request));
+                        Begun::Waits { id, renews } => {
+                            out = Some(Waits { id, renews, request });
                             false
                         }
-                        Begun::Answered(response) => !self.send(&response, &request),
+                        Begun::Answered(response) => self.send(&response, &request) != Sent::Open,
                     },
                 };
                 if closes {
@@ -239,14 +243,24 @@
         let _ = self.socket.shutdown(Shutdown::Both);
     }
 
-    /// Writes an answer; whether the connection stays open after it.
-    fn send(&self, response: &Response, request: &Request) -> bool {
+    /// The viewer is gone before its answer reached it. One who asked for a renewed manifest keeps its session.
+    fn left(&self, waits: &Waits) {
+        if !waits.renews {
+            let _ = self.shared.hub.send(News::Left(waits.id));
+        }
+    }
+
+    fn send(&self, response: &Response, request: &Request) -> Sent {
         let keep = request.keep_alive && !self.shared.stopping.load(Ordering::SeqCst);
         let bytes = http::write(response, request.method == "HEAD", keep);
         let sent = self.put(&bytes);
         self.patience.answered(self.shared.clock.now());
         self.ahead.post();
-        sent && keep
+        match (sent, keep) {
+            (false, _) => Sent::Failed,
+            (true, true) => Sent::Open,
+            (true, false) => Sent::Last,
+        }
     }
 
     fn begin(&self, request: &Request) -> Begun {
@@ -280,7 +294,7 @@
                 let ticket = Ticket::new(id, title, group, request.at, self.inbox.clone());
                 shared.in_hand.fetch_add(1, Ordering::SeqCst);
                 let _ = shared.hub.send(News::Asked { ask, ticket });
-                Begun::Waits(id)
+                Begun::Waits { id, renews: false }
             }
             Err(refusal) => {
                 tracing::debug!(path = request.path, reason = refusal.reason(), "not let in: {refusal:?}");
@@ -316,7 +330,7 @@
                 let id = SessId(claims.session);
                 self.shared.in_hand.fetch_add(1, Ordering::SeqCst);
                 let _ = self.shared.hub.send(News::Renew { id, to: self.inbox.clone() });
-                Begun::Waits(id)
+                Begun::Waits { id, renews: true }
             }
             Ok(_) => Begun::Answered(answer::refused(&Refusal::OtherTitle)),
             Err(refusal) => Begun::Answered(answer::refused(&refusal)),
@@ -325,10 +339,26 @@
 }
 
 enum Begun {
-    Waits(SessId),
+    Waits { id: SessId, renews: bool },
     Answered(Response),
 }
 
+/// A request that waits for the hub's answer.
+struct Waits {
+    id: SessId,
+    /// It asks for a session's manifest anew.
+    renews: bool,
+    request: Request,
+}
+
+/// What became of an answer, and of the connection with it.
+#[derive(PartialEq)]
+enum Sent {
+    Open,
+    Last,
+    Failed,
+}
+
 /// The title of a manifest's path, percent-decoded.
 fn title(path: &str) -> String {
     let name = path.strip_prefix("/m/").and_then(|p| p.strip_suffix(".mpd")).unwrap_or(path);
