No sleeps of the coroutine library: one of no length wrote to a coroutine that was over

The library's sleep gives its coroutine to the timer's thread and then writes to that coroutine's cancelling data; the kit asked for sleeps of no length, after which the coroutine may be over. The daemon's sleeps are of fixed length but had the same gap on a starved machine.

The kit's sleepers and the daemon's pauses are now woken by a thread of their own. The test of stopping asked on a connection that the stop may close; it asks on new ones. ./test passes whole.

--- a/crates/cli/tests/path.rs
+++ b/crates/cli/tests/path.rs
@@ -309,18 +309,16 @@
 
 #[test]
 fn a_stop_answers_what_is_in_hand_and_takes_no_more() {
-    let mut p = place(&[Does::Late(400)]);
+    let mut p = place(&[Does::Late(1_200)]);
     let phone = Phone::new(10);
-    let mut open = connect(p.front.address);
     let mut waiting = connect(p.front.address);
     let before = setups(&p.log).len();
     waiting.write_all(phone.request(p.front.address, "water", &[0]).as_bytes()).unwrap();
     until("its SETUP", || (setups(&p.log).len() > before).then_some(()));
     p.front.signal("-TERM");
+    // Without a token, so that it is never in hand: refused before, told of the stop after.
     until("no more are taken", || {
-        let text = phone.request(p.front.address, "fire", &[0]);
-        open.write_all(text.as_bytes()).ok()?;
-        let answer = read_answer(&mut open, &mut Vec::new(), Instant::now());
+        let answer = ask(p.front.address, "GET /m/fire.mpd HTTP/1.1\r\nHost: f\r\n\r\n");
         (answer.status == 503 && answer.body.contains("stopping")).then_some(())
     });
     assert_eq!(read_answer(&mut waiting, &mut Vec::new(), Instant::now()).status, 200);
--- a/crates/front/src/viewer.rs
+++ b/crates/front/src/viewer.rs
@@ -12,15 +12,11 @@
 use std::net::Shutdown;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
 use walnutline::ids::{GroupNo, ServerId, SessId, TitleId};
 use walnutline_desk::live::Ask;
 use walnutline_gate::claims::Claims;
 use walnutline_gate::verdict::Refusal;
 
-/// How soon writing is tried again to a viewer who does not take its answer off.
-const WRITE_AGAIN: Duration = Duration::from_millis(5);
-
 /// What the answering coroutine of a connection is told.
 pub enum Msg {
     Request(Request),
@@ -48,7 +44,7 @@
             Err(e) => {
                 // Out of descriptors or memory: trying again at once would only spin.
                 tracing::warn!("accept: {e}");
-                may::coroutine::sleep(Duration::from_millis(20));
+                shared.watch.pause();
             }
         }
     });
@@ -171,7 +167,7 @@
             match (&self.socket).write(rest) {
                 Ok(n) if n > 0 => rest = &rest[n..],
                 Err(e) if e.kind() == ErrorKind::WouldBlock && self.shared.clock.now() < until => {
-                    may::coroutine::sleep(WRITE_AGAIN);
+                    self.shared.watch.pause();
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 _ => return false,
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -1,6 +1,9 @@
 //! Cuts off viewers' connections that are overdue. One thread looks over all of them several times a second: each
-//! costs it a few loads. (Reads with a time-out of their own were tried first: with many unlike time-outs the
-//! coroutine library now and then loses one, and its reader waits for ever.)
+//! costs it a few loads. Coroutines that have to wait a moment wait for its next look.
+//!
+//! The coroutine library's own timers are not used. Of many reads with unlike time-outs some never ended; and a sleep
+//! hands its coroutine to the timer's thread before it is done with it, so that one of no length may be over, and
+//! its memory gone, while the sleep still writes there.
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
@@ -19,6 +22,7 @@
 #[derive(Default)]
 pub struct Watch {
     all: Mutex<Vec<Weak<dyn Watched>>>,
+    pausing: Mutex<Vec<may::coroutine::Coroutine>>,
 }
 
 impl Watch {
@@ -37,7 +41,15 @@
         self.all.lock().unwrap_or_else(|e| e.into_inner()).push(one);
     }
 
+    /// Lets a coroutine wait for the next look.
+    pub fn pause(&self) {
+        self.pausing.lock().unwrap_or_else(|e| e.into_inner()).push(may::coroutine::current());
+        may::coroutine::park();
+    }
+
     fn look(&self, now: f64) {
+        let pausing = std::mem::take(&mut *self.pausing.lock().unwrap_or_else(|e| e.into_inner()));
+        pausing.iter().for_each(|c| c.unpark());
         let mut cut = Vec::new();
         self.all.lock().unwrap_or_else(|e| e.into_inner()).retain(|one| match one.upgrade() {
             Some(one) => {
--- a/crates/rehearsal/src/net.rs
+++ b/crates/rehearsal/src/net.rs
@@ -1,5 +1,5 @@
-//! Small things that the stand-ins' sockets share. The coroutine library's own time-outs of reads are not used: with many
-//! of them it lost some, and its heap was found corrupted.
+//! Small things that the stand-ins' sockets share. The coroutine library's own timers are not used: it lost some of many
+//! with unlike lengths, and a sleep of no length writes to its coroutine when that may be over already.
 use may::coroutine::JoinHandle;
 use may::net::TcpStream;
 use std::io::{self, ErrorKind, Read, Write};
@@ -15,8 +15,40 @@
         .ok()
 }
 
+struct Sleeper {
+    due: Instant,
+    who: may::coroutine::Coroutine,
+}
+
+static SLEEPERS: Mutex<Vec<Sleeper>> = Mutex::new(Vec::new());
+static WAKER: Once = Once::new();
+
+/// Wakes sleepers that are due; each looks at the clock itself, so one woken early sleeps on.
+fn wake() {
+    std::thread::spawn(|| loop {
+        std::thread::sleep(Duration::from_millis(1));
+        let now = Instant::now();
+        let mut due = Vec::new();
+        SLEEPERS.lock().unwrap_or_else(|e| e.into_inner()).retain(|s| {
+            if s.due <= now {
+                due.push(s.who.clone());
+            }
+            s.due > now
+        });
+        due.iter().for_each(|who| who.unpark());
+    });
+}
+
+/// Lets a coroutine sleep; one thread wakes all of them. Not by the library's timers, see above: sleeps here are of
+/// thousands of unlike lengths.
 pub fn sleep(ms: f64) {
-    may::coroutine::sleep(Duration::from_secs_f64(ms.max(0.0) / 1_000.0));
+    WAKER.call_once(wake);
+    let due = Instant::now() + Duration::from_secs_f64(ms.max(0.0) / 1_000.0);
+    let who = may::coroutine::current();
+    SLEEPERS.lock().unwrap_or_else(|e| e.into_inner()).push(Sleeper { due, who });
+    while Instant::now() < due {
+        may::coroutine::park();
+    }
 }
 
 /// A socket whose reads end at a stated time: one thread shuts what is due, for good.
