--- a/crates/catalogue/src/change.rs
+++ b/crates/catalogue/src/change.rs
@@ -1,5 +1,5 @@
 //! What may change in a catalogue, and why a batch of changes is refused. A batch is applied whole or not at all.
-use walnutline::ids::ServerId;
+use walnutline::ids::{RackNo, ServerId};
 
 /// All that is known of a title.
 #[derive(Debug, Clone, PartialEq)]
@@ -42,6 +42,11 @@
     /// A box is away: its titles are out of reach there until it is back. What it holds stays known.
     Gone(ServerId),
     Back(ServerId),
+    /// A box stands in a rack.
+    Stands {
+        server: ServerId,
+        rack: RackNo,
+    },
 }
 
 /// A change with its place in the stream: numbers grow by one.
--- /dev/null
+++ b/crates/catalogue/src/news.rs
@@ -0,0 +1,150 @@
+//! The boxes whose news is worth having before the next request, within a stated price.
+//!
+//! A box is worth as much as the requests that are likely to go there next: each title's demand, shared among its
+//! sound holders. So holders of what is in demand come first, and of titles equally in demand the thinly held ones.
+//! Each request that is taken earns the price of some part of a probe; without requests nothing is asked.
+use crate::demand::Demand;
+use crate::version::Version;
+use std::collections::BTreeMap;
+use walnutline::ids::{Ms, ServerId};
+
+/// Titles in demand that are looked at.
+const TITLES: usize = 64;
+/// Time between two looks.
+const LOOK: Ms = 100.0;
+
+/// What the operator states.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Price {
+    /// Probes for each request taken, on average.
+    pub each: f64,
+    /// Probes saved up at most, for the time when a crowd begins.
+    pub most: f64,
+    /// News older than this is worth renewing, in milliseconds.
+    pub old: Ms,
+}
+
+#[derive(Debug)]
+pub struct News {
+    price: Price,
+    saved: f64,
+    looked: Ms,
+    asked: BTreeMap<ServerId, Ms>,
+}
+
+impl News {
+    pub fn new(price: Price) -> News {
+        News { price, saved: 0.0, looked: Ms::NEG_INFINITY, asked: BTreeMap::new() }
+    }
+
+    /// A request was taken.
+    pub fn taken(&mut self) {
+        self.saved = (self.saved + self.price.each).min(self.price.most);
+    }
+
+    /// Boxes to ask now. `heard`: when news of a box was last heard; `None` for one that is not to be asked.
+    pub fn worth(
+        &mut self,
+        demand: &Demand,
+        v: &Version,
+        heard: impl Fn(ServerId) -> Option<Ms>,
+        now: Ms,
+    ) -> Vec<ServerId> {
+        if self.saved < 1.0 || now - self.looked < LOOK {
+            return Vec::new();
+        }
+        self.looked = now;
+        self.asked.retain(|_, at| now - *at < self.price.old);
+        let mut worth: BTreeMap<ServerId, f64> = BTreeMap::new();
+        for asked in demand.top(TITLES, now) {
+            for title in v.of_hash(asked.key) {
+                let sound: Vec<ServerId> = v.sound_holders(title).collect();
+                // What may be another title's demand does not count.
+                let each = (asked.weight - asked.over) / sound.len().max(1) as f64;
+                sound.into_iter().for_each(|s| *worth.entry(s).or_default() += each);
+            }
+        }
+        let old = |s: &ServerId| heard(*s).is_some_and(|at| now - at > self.price.old);
+        let mut worth: Vec<(ServerId, f64)> =
+            worth.into_iter().filter(|(s, w)| *w > 0.0 && !self.asked.contains_key(s) && old(s)).collect();
+        worth.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
+        worth.truncate(self.saved as usize);
+        self.saved -= worth.len() as f64;
+        self.asked.extend(worth.iter().map(|(s, _)| (*s, now)));
+        worth.into_iter().map(|(s, _)| s).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::change::Title;
+    use crate::names::hash;
+    use crate::packed::Packed;
+    use crate::version::{BoxOf, Builder};
+    use proptest::prelude::*;
+
+    fn version(titles: &[(&str, &[u32])], gone: &[u32]) -> Version {
+        let mut b = Builder::new(1, vec![], None).unwrap();
+        gone.iter().for_each(|s| b.tell(BoxOf { server: ServerId(*s), gone: true, rack: None }));
+        for (name, holders) in titles {
+            let holders = holders.iter().copied().map(ServerId).collect();
+            let t = Title { name: (*name).into(), rates: vec![1.0], groups: 0, length: 1, holders };
+            b.title(Packed::new(&t).unwrap()).unwrap();
+        }
+        b.finish()
+    }
+
+    fn ids(of: &[ServerId]) -> Vec<u32> {
+        of.iter().map(|s| s.0).collect()
+    }
+
+    #[test]
+    fn thinly_held_first_and_what_is_in_demand() {
+        let v = version(&[("thin", &[1, 2]), ("wide", &[3, 4, 5, 6]), ("idle", &[7]), ("far", &[8])], &[2]);
+        let mut demand = Demand::new(8, 10_000.0);
+        for name in ["thin", "wide", "thin", "wide", "unknown"] {
+            demand.count(hash(name), 0.0);
+        }
+        let mut news = News::new(Price { each: 1.0, most: 3.0, old: 2_000.0 });
+        (0..9).for_each(|_| news.taken());
+        // Box 4 has just been heard of, 5 is not to be asked, 2 is gone; 7 and 8 hold what nobody asks for.
+        let heard = |s: ServerId| match s.0 {
+            4 => Some(900.0),
+            5 => None,
+            _ => Some(-5_000.0),
+        };
+        assert_eq!(ids(&news.worth(&demand, &v, heard, 1_000.0)), [1, 3, 6]);
+        (0..9).for_each(|_| news.taken());
+        assert!(news.worth(&demand, &v, heard, 1_050.0).is_empty(), "asked twice within a moment");
+        assert!(ids(&news.worth(&demand, &v, heard, 1_500.0)).is_empty(), "asked already");
+        assert_eq!(ids(&news.worth(&demand, &v, heard, 3_200.0)), [1, 3, 4]);
+    }
+
+    proptest! {
+        /// However requests come, probes stay within the price: what was earned, and no more saved than stated.
+        #[test]
+        fn within_the_price(
+            each in 0.0f64..1.5,
+            most in 1.0f64..5.0,
+            steps in prop::collection::vec((0u32..6, 0.0f64..500.0), 1..200),
+        ) {
+            let v = version(&[("a", &[1, 2, 3]), ("b", &[3, 4]), ("c", &[5])], &[]);
+            let mut demand = Demand::new(8, 1_000.0);
+            let mut news = News::new(Price { each, most, old: 50.0 });
+            let (mut now, mut taken, mut sent) = (0.0, 0u32, 0usize);
+            for (requests, gap) in steps {
+                now += gap;
+                for n in 0..requests {
+                    demand.count(hash(["a", "b", "c"][n as usize % 3]), now);
+                    news.taken();
+                    taken += 1;
+                }
+                let asked = news.worth(&demand, &v, |_| Some(Ms::NEG_INFINITY), now);
+                prop_assert!(asked.len() as f64 <= most);
+                sent += asked.len();
+                prop_assert!(sent as f64 <= f64::from(taken) * each + 1e-6);
+            }
+        }
+    }
+}
--- a/crates/catalogue/src/version.rs
+++ b/crates/catalogue/src/version.rs
@@ -1,17 +1,17 @@
-//! One state of the catalogue: titles by position, positions by name, and which titles each box holds.
+//! One state of the catalogue: titles by position, positions by name, which titles each box holds, and which titles are
+//! thinly held.
+//!
+//! Growth: a title costs its packed bytes, 16 bytes of its place, 16 in the index by name, 4 to 6 in the one by prefix
+//! and 2 to 4 for each holder. A new version copies 16 bytes for each 256 titles, and what its batch touches.
 use crate::change::{Change, Fault, Numbered, Title};
 use crate::cow::Pages;
 use crate::names::{hash, Names};
+use crate::packed::Packed;
+use crate::prefix::Prefixes;
 use roaring::RoaringBitmap;
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use walnutline::ids::ServerId;
-
-/// Longest name, most rungs and most holders that are taken, and the highest rate, in kB a second.
-const LONGEST_NAME: usize = 512;
-const MOST_RUNGS: usize = 64;
-const MOST_HOLDERS: usize = 4_096;
-const HIGHEST_RATE: f32 = 1e9;
+use walnutline::ids::{RackNo, ServerId};
 
 /// What a version knows of a box.
 #[derive(Debug, Clone, Default)]
@@ -19,16 +19,30 @@
     /// Positions of the titles that it holds.
     titles: Arc<RoaringBitmap>,
     gone: bool,
+    rack: Option<RackNo>,
+}
+
+/// A box as snapshots tell it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BoxOf {
+    pub server: ServerId,
+    pub gone: bool,
+    pub rack: Option<RackNo>,
 }
 
 #[derive(Debug, Clone, Default)]
 pub struct Version {
     /// The last change that is in it.
     number: u64,
+    /// Names of the service groups that titles' bits stand for.
+    groups: Arc<[String]>,
     /// By position. A position is never used again for another title, so that sets of positions stay right.
-    titles: Pages<Option<Arc<Title>>>,
+    titles: Pages<Option<Packed>>,
     names: Names,
+    prefixes: Prefixes,
     boxes: BTreeMap<ServerId, Held>,
+    /// Titles with no sound holder, and with one.
+    thin: [Arc<RoaringBitmap>; 2],
 }
 
 impl Version {
@@ -45,42 +59,92 @@
         self.len() == 0
     }
 
-    pub fn title(&self, name: &str) -> Option<&Arc<Title>> {
+    /// Names of the service groups that titles' bits stand for, the lowest bit first.
+    pub fn groups(&self) -> &[String] {
+        &self.groups
+    }
+
+    pub fn title(&self, name: &str) -> Option<&Packed> {
         self.position(name).and_then(|p| self.at(p))
     }
 
-    fn at(&self, position: u32) -> Option<&Arc<Title>> {
+    /// Titles whose names have this [`hash`]: nearly always one or none.
+    pub fn of_hash(&self, hash: u64) -> impl Iterator<Item = &Packed> {
+        self.names.find(hash).filter_map(|p| self.at(p))
+    }
+
+    fn at(&self, position: u32) -> Option<&Packed> {
         self.titles.get(position as usize)?.as_ref()
     }
 
     fn position(&self, name: &str) -> Option<u32> {
-        let same = |p: &u32| self.at(*p).is_some_and(|t| t.name == name);
+        let same = |p: &u32| self.at(*p).is_some_and(|t| t.name() == name);
         self.names.find(hash(name)).find(same)
     }
 
+    /// All titles, in the order of their positions.
+    pub fn titles(&self) -> impl Iterator<Item = &Packed> {
+        self.titles.iter().flatten()
+    }
+
+    /// The first titles in the order of their names that begin so and, where given, come after `after`.
+    pub fn beginning_with(&self, prefix: &str, after: Option<&str>, most: usize) -> Vec<&Packed> {
+        let found = self.prefixes.find(prefix, after, most, |p| name_at(&self.titles, p));
+        found.into_iter().filter_map(|p| self.at(p)).collect()
+    }
+
     /// Titles that a box holds, in no order that means anything.
-    pub fn held_by(&self, server: ServerId) -> impl Iterator<Item = &Arc<Title>> {
+    pub fn held_by(&self, server: ServerId) -> impl Iterator<Item = &Packed> {
         let held = self.boxes.get(&server).map(|b| b.titles.iter());
         held.into_iter().flatten().filter_map(|p| self.at(p))
     }
 
+    /// How many titles a box holds.
+    pub fn count_of(&self, server: ServerId) -> u64 {
+        self.boxes.get(&server).map_or(0, |b| b.titles.len())
+    }
+
+    /// All boxes that it tells of.
+    pub fn boxes(&self) -> impl Iterator<Item = BoxOf> + '_ {
+        self.boxes.iter().map(|(server, b)| BoxOf { server: *server, gone: b.gone, rack: b.rack })
+    }
+
     pub fn is_gone(&self, server: ServerId) -> bool {
         self.boxes.get(&server).is_some_and(|b| b.gone)
     }
 
+    /// Boxes that stand in a rack, and the titles that they hold among them. Costs what their sets hold.
+    pub fn in_rack(&self, rack: RackNo) -> (Vec<ServerId>, Vec<&Packed>) {
+        let there: Vec<_> = self.boxes.iter().filter(|(_, b)| b.rack == Some(rack)).collect();
+        let mut held = RoaringBitmap::new();
+        there.iter().for_each(|(_, b)| held |= &*b.titles);
+        (there.iter().map(|(s, _)| **s).collect(), held.iter().filter_map(|p| self.at(p)).collect())
+    }
+
     /// Holders of a title that are not gone.
-    pub fn sound_holders<'a>(&'a self, title: &'a Title) -> impl Iterator<Item = ServerId> + 'a {
-        title.holders.iter().copied().filter(|s| !self.is_gone(*s))
+    pub fn sound_holders<'a>(&'a self, title: &'a Packed) -> impl Iterator<Item = ServerId> + 'a {
+        title.holders().filter(|s| !self.is_gone(*s))
+    }
+
+    /// Titles that have no sound holder (`left` 0) or one (1).
+    pub fn thinly_held(&self, left: usize) -> impl Iterator<Item = &Packed> {
+        let set = self.thin.get(left).map(|set| set.iter());
+        set.into_iter().flatten().filter_map(|p| self.at(p))
+    }
+
+    /// How many titles have no sound holder, and one.
+    pub fn thin(&self) -> (u64, u64) {
+        (self.thin[0].len(), self.thin[1].len())
     }
 
     /// Titles that would be out of reach altogether if these boxes went too: all their sound holders are among
     /// them. Costs as much as the sets of these boxes hold, not as the catalogue.
-    pub fn lost_with(&self, servers: &[ServerId]) -> Vec<&Arc<Title>> {
+    pub fn lost_with(&self, servers: &[ServerId]) -> Vec<&Packed> {
         let mut touched = RoaringBitmap::new();
         for held in servers.iter().filter_map(|s| self.boxes.get(s)) {
             touched |= &*held.titles;
         }
-        let lost = |t: &&Arc<Title>| self.sound_holders(t).all(|s| servers.contains(&s));
+        let lost = |t: &&Packed| self.sound_holders(t).all(|s| servers.contains(&s));
         touched.iter().filter_map(|p| self.at(p)).filter(lost).collect()
     }
 
@@ -101,63 +165,43 @@
         Ok(next)
     }
 
-    /// A whole catalogue as of a number.
-    pub fn whole(
-        number: u64,
-        titles: impl IntoIterator<Item = Title>,
-        gone: impl IntoIterator<Item = ServerId>,
-    ) -> Result<Version, Fault> {
-        let mut v = Version { number, ..Version::default() };
-        let fault = |why: String| Fault::Conflict { number, why };
-        for t in titles {
-            if v.position(&t.name).is_some() {
-                return Err(fault(format!("title {:?} is given twice", t.name)));
-            }
-            v.put(&t).map_err(fault)?;
-        }
-        gone.into_iter().for_each(|s| v.boxes.entry(s).or_default().gone = true);
-        Ok(v)
-    }
-
     fn apply(&mut self, change: &Change) -> Result<(), String> {
         match change {
-            Change::Put(title) => self.put(title),
+            Change::Put(title) => {
+                let bits = self.groups.len() as u32;
+                if bits < 32 && title.groups >> bits != 0 {
+                    return Err(format!("title {:?} has a service group above the {bits} known", title.name));
+                }
+                self.put(Packed::new(title)?)
+            }
             Change::Drop { name } => {
                 let position = self.known(name)?;
+                let Version { titles, prefixes, .. } = self;
+                prefixes.remove(position, |p| name_at(titles, p));
                 self.set(position, None);
                 self.names.remove(hash(name), position);
                 Ok(())
             }
-            Change::AddHolder { name, server } => {
-                self.change(name, |t| match t.holders.binary_search(server) {
-                    Ok(_) => Err(format!("box {} holds {name:?} already", server.0)),
-                    Err(at) => {
-                        t.holders.insert(at, *server);
-                        Ok(())
-                    }
-                })
-            }
+            Change::AddHolder { name, server } => self.change(name, |t| add_holder(t, *server)),
             Change::DropHolder { name, server } => self.change(name, |t| remove_holder(t, *server)),
             Change::MoveHolder { name, from, to } => self.change(name, |t| {
                 remove_holder(t, *from)?;
-                match t.holders.binary_search(to) {
-                    Ok(_) => Err(format!("box {} holds {name:?} already", to.0)),
-                    Err(at) => {
-                        t.holders.insert(at, *to);
-                        Ok(())
-                    }
-                }
+                add_holder(t, *to)
             }),
             Change::Rates { name, rates } => self.change(name, |t| {
                 t.rates.clone_from(rates);
                 Ok(())
             }),
             Change::Gone(server) => {
-                self.boxes.entry(*server).or_default().gone = true;
+                self.sound(*server, false);
                 Ok(())
             }
             Change::Back(server) => {
-                self.boxes.entry(*server).or_default().gone = false;
+                self.sound(*server, true);
+                Ok(())
+            }
+            Change::Stands { server, rack } => {
+                self.boxes.entry(*server).or_default().rack = Some(*rack);
                 Ok(())
             }
         }
@@ -167,17 +211,17 @@
         self.position(name).ok_or_else(|| format!("title {name:?} is not known"))
     }
 
-    fn put(&mut self, title: &Title) -> Result<(), String> {
-        check(title)?;
-        let position = match self.position(&title.name) {
-            Some(position) => position,
-            None => {
-                let position = u32::try_from(self.titles.push(None)).map_err(|_| "no more positions")?;
-                self.names.insert(hash(&title.name), position);
-                position
-            }
-        };
-        self.set(position, Some(title.clone()));
+    fn put(&mut self, title: Packed) -> Result<(), String> {
+        if let Some(position) = self.position(title.name()) {
+            self.set(position, Some(title));
+            return Ok(());
+        }
+        let hash = hash(title.name());
+        let position = u32::try_from(self.titles.push(None)).map_err(|_| "no more positions")?;
+        self.set(position, Some(title));
+        self.names.insert(hash, position);
+        let Version { titles, prefixes, .. } = self;
+        prefixes.insert(position, |p| name_at(titles, p));
         Ok(())
     }
 
@@ -187,20 +231,28 @@
         how: impl FnOnce(&mut Title) -> Result<(), String>,
     ) -> Result<(), String> {
         let position = self.known(name)?;
-        let mut title = self.at(position).map(|t| Title::clone(t)).ok_or("no title at its position")?;
+        let mut title = self.at(position).map(Packed::title).ok_or("no title at its position")?;
         how(&mut title)?;
-        check(&title)?;
-        self.set(position, Some(title));
+        self.set(position, Some(Packed::new(&title)?));
         Ok(())
     }
 
-    /// Puts a title at a position, or takes it away, and brings the boxes' sets up to it.
-    fn set(&mut self, position: u32, title: Option<Title>) {
+    /// A box is gone or back: how thinly each of its titles is held is counted anew.
+    fn sound(&mut self, server: ServerId, sound: bool) {
+        let held = self.boxes.entry(server).or_default();
+        if std::mem::replace(&mut held.gone, !sound) == sound {
+            for position in held.titles.clone().iter() {
+                self.count_thin(position);
+            }
+        }
+    }
+
+    /// Puts a title at a position, or takes it away, and brings the sets up to it.
+    fn set(&mut self, position: u32, title: Option<Packed>) {
         let Some(slot) = self.titles.get_mut(position as usize) else { return };
-        let old = std::mem::replace(slot, title.map(Arc::new));
-        let new = slot.clone();
-        let of = |t: &Option<Arc<Title>>| t.as_ref().map(|t| t.holders.clone()).unwrap_or_default();
-        let (before, after) = (of(&old), of(&new));
+        let old = std::mem::replace(slot, title.clone());
+        let of = |t: &Option<Packed>| t.iter().flat_map(|t| t.holders()).collect::<Vec<_>>();
+        let (before, after) = (of(&old), of(&title));
         for server in before.iter().filter(|s| after.binary_search(s).is_err()) {
             if let Some(held) = self.boxes.get_mut(server) {
                 Arc::make_mut(&mut held.titles).remove(position);
@@ -210,6 +262,37 @@
             let held = self.boxes.entry(*server).or_default();
             Arc::make_mut(&mut held.titles).insert(position);
         }
+        self.count_thin(position);
+    }
+
+    fn count_thin(&mut self, position: u32) {
+        let sound = self.at(position).map(|t| self.sound_holders(t).take(2).count());
+        for (left, set) in self.thin.iter_mut().enumerate() {
+            let belongs = sound == Some(left);
+            // Looked up first: a set that stays as it is is not copied.
+            if set.contains(position) != belongs {
+                let set = Arc::make_mut(set);
+                if belongs {
+                    set.insert(position);
+                } else {
+                    set.remove(position);
+                }
+            }
+        }
+    }
+}
+
+fn name_at(titles: &Pages<Option<Packed>>, position: u32) -> &str {
+    titles.get(position as usize).and_then(|t| t.as_ref()).map_or("", Packed::name)
+}
+
+fn add_holder(t: &mut Title, server: ServerId) -> Result<(), String> {
+    match t.holders.binary_search(&server) {
+        Ok(_) => Err(format!("box {} holds {:?} already", server.0, t.name)),
+        Err(at) => {
+            t.holders.insert(at, server);
+            Ok(())
+        }
     }
 }
 
@@ -220,19 +303,42 @@
     Ok(())
 }
 
-fn check(t: &Title) -> Result<(), String> {
-    let name = &t.name;
-    if name.is_empty() || name.len() > LONGEST_NAME {
-        return Err(format!("a title's name has {} bytes, not 1 to {LONGEST_NAME}", name.len()));
+/// Puts a whole version together, title by title. What an older version has the same is shared with it, so that a load
+/// beside it costs its indexes and what differs.
+pub struct Builder {
+    v: Version,
+    beside: Option<Arc<Version>>,
+}
+
+impl Builder {
+    /// As of the change `number`; `groups`: the service groups that bits stand for, at most 32.
+    pub fn new(number: u64, groups: Vec<String>, beside: Option<Arc<Version>>) -> Result<Builder, String> {
+        let twice = groups.iter().enumerate().any(|(n, g)| groups[..n].contains(g));
+        if groups.len() > 32 || twice {
+            return Err(format!("{} service groups, not up to 32 of different names", groups.len()));
+        }
+        Ok(Builder { v: Version { number, groups: groups.into(), ..Version::default() }, beside })
     }
-    if t.rates.is_empty() || t.rates.len() > MOST_RUNGS {
-        return Err(format!("title {name:?} has {} rungs, not 1 to {MOST_RUNGS}", t.rates.len()));
+
+    /// Boxes come before titles: telling of one after costs as much as it holds.
+    pub fn tell(&mut self, b: BoxOf) {
+        self.v.sound(b.server, !b.gone);
+        self.v.boxes.entry(b.server).or_default().rack = b.rack;
     }
-    if !t.rates.iter().all(|r| (0.001..=HIGHEST_RATE).contains(r)) || !t.rates.is_sorted() {
-        return Err(format!("title {name:?}: rates {:?} do not ascend from above 0", t.rates));
+
+    pub fn title(&mut self, title: Packed) -> Result<(), String> {
+        if self.v.position(title.name()).is_some() {
+            return Err(format!("title {:?} is given twice", title.name()));
+        }
+        if self.v.groups.len() < 32 && title.groups() >> self.v.groups.len() != 0 {
+            return Err(format!("title {:?} has a service group that is not known", title.name()));
+        }
+        let known = self.beside.as_ref().and_then(|old| old.title(title.name()));
+        let same = known.filter(|old| **old == title).cloned();
+        self.v.put(same.unwrap_or(title))
     }
-    if t.holders.len() > MOST_HOLDERS || !t.holders.windows(2).all(|w| w[0] < w[1]) {
-        return Err(format!("title {name:?}: its holders are too many or do not ascend"));
+
+    pub fn finish(self) -> Version {
+        self.v
     }
-    Ok(())
 }
--- a/crates/catalogue/tests/versions.rs
+++ b/crates/catalogue/tests/versions.rs
@@ -1,15 +1,17 @@
 //! Versions against a plain map, whatever comes in whatever order.
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
-use walnutline::ids::ServerId;
+use walnutline::ids::{RackNo, ServerId};
 use walnutline_catalogue::change::{Change, Fault, Numbered, Title};
-use walnutline_catalogue::version::Version;
+use walnutline_catalogue::packed::Packed;
+use walnutline_catalogue::version::{BoxOf, Builder, Version};
 
 /// The catalogue as anyone would write it first.
 #[derive(Debug, Clone, Default, PartialEq)]
 struct Plain {
     titles: BTreeMap<String, Title>,
     gone: BTreeSet<ServerId>,
+    racks: BTreeMap<ServerId, RackNo>,
 }
 
 impl Plain {
@@ -48,6 +50,10 @@
                 self.gone.remove(s);
                 true
             }
+            Change::Stands { server, rack } => {
+                self.racks.insert(*server, *rack);
+                true
+            }
         }
     }
 }
@@ -57,27 +63,60 @@
 fn same(v: &Version, plain: &Plain) -> Result<(), TestCaseError> {
     prop_assert_eq!(v.len(), plain.titles.len());
     for (name, t) in &plain.titles {
-        prop_assert_eq!(v.title(name).map(|t| &**t), Some(t));
-        let sound: Vec<ServerId> = v.sound_holders(t).collect();
+        prop_assert_eq!(v.title(name).map(Packed::title), Some(t.clone()));
+        let sound: Vec<ServerId> = v.title(name).into_iter().flat_map(|t| v.sound_holders(t)).collect();
         let wanted: Vec<ServerId> = t.holders.iter().copied().filter(|s| !plain.gone.contains(s)).collect();
         prop_assert_eq!(sound, wanted);
     }
     for s in (0..BOXES).map(ServerId) {
-        let held: BTreeSet<&str> = v.held_by(s).map(|t| t.name.as_str()).collect();
+        let held: BTreeSet<&str> = v.held_by(s).map(|t| t.name()).collect();
         let holds = |(_, t): &(&String, &Title)| t.holders.contains(&s);
         let wanted: BTreeSet<&str> = plain.titles.iter().filter(holds).map(|(n, _)| n.as_str()).collect();
         prop_assert_eq!(held, wanted);
         prop_assert_eq!(v.is_gone(s), plain.gone.contains(&s));
-        let lost: BTreeSet<&str> = v.lost_with(&[s]).iter().map(|t| t.name.as_str()).collect();
+        let lost: BTreeSet<&str> = v.lost_with(&[s]).iter().map(|t| t.name()).collect();
         let only = |(_, t): &(&String, &Title)| {
             t.holders.contains(&s) && t.holders.iter().all(|h| *h == s || plain.gone.contains(h))
         };
         let wanted: BTreeSet<&str> = plain.titles.iter().filter(only).map(|(n, _)| n.as_str()).collect();
         prop_assert_eq!(lost, wanted);
     }
+    for left in 0..2 {
+        let told: BTreeSet<&str> = v.thinly_held(left).map(|t| t.name()).collect();
+        let sound = |t: &Title| t.holders.iter().filter(|h| !plain.gone.contains(h)).count();
+        let wanted: BTreeSet<&str> =
+            plain.titles.iter().filter(|(_, t)| sound(t) == left).map(|(n, _)| n.as_str()).collect();
+        prop_assert_eq!(told, wanted);
+    }
+    for rack in (0..2).map(RackNo) {
+        let (boxes, held) = v.in_rack(rack);
+        let stands = |s: &ServerId| plain.racks.get(s) == Some(&rack);
+        prop_assert!(boxes.iter().all(stands));
+        let held: BTreeSet<&str> = held.into_iter().map(|t| t.name()).collect();
+        let holds = |(_, t): &(&String, &Title)| t.holders.iter().any(stands);
+        let wanted: BTreeSet<&str> = plain.titles.iter().filter(holds).map(|(n, _)| n.as_str()).collect();
+        prop_assert_eq!(held, wanted);
+    }
+    for prefix in ["", "a", "c", "z"] {
+        let told: Vec<&str> = v.beginning_with(prefix, None, 99).into_iter().map(|t| t.name()).collect();
+        let wanted: Vec<&str> =
+            plain.titles.keys().map(String::as_str).filter(|n| n.starts_with(prefix)).collect();
+        prop_assert_eq!(told, wanted);
+    }
     Ok(())
 }
 
+/// The plain catalogue as a whole version.
+fn whole(number: u64, plain: &Plain, beside: Option<Version>) -> Version {
+    let mut b = Builder::new(number, vec!["g".into()], beside.map(Into::into)).unwrap();
+    let boxes = plain.gone.iter().chain(plain.racks.keys()).collect::<BTreeSet<_>>();
+    for server in boxes.into_iter().copied() {
+        b.tell(BoxOf { server, gone: plain.gone.contains(&server), rack: plain.racks.get(&server).copied() });
+    }
+    plain.titles.values().for_each(|t| b.title(Packed::new(t).unwrap()).unwrap());
+    b.finish()
+}
+
 fn titles() -> impl Strategy<Value = Title> {
     let holders = prop::collection::btree_set(0..BOXES, 0..4);
     ("[a-h]", 1.0..9.0f32, holders).prop_map(|(name, rate, holders)| Title {
@@ -101,6 +140,7 @@
         1 => (name(), 1.0..9.0f32).prop_map(|(name, r)| Change::Rates { name, rates: vec![r, r + 1.0] }),
         1 => server().prop_map(Change::Gone),
         1 => server().prop_map(Change::Back),
+        1 => (server(), 0u32..2).prop_map(|(server, rack)| Change::Stands { server, rack: RackNo(rack) }),
     ]
 }
 
@@ -111,7 +151,7 @@
     fn always_a_whole_version(
         batches in prop::collection::vec((prop::collection::vec(changes(), 0..5), -3i64..4), 1..40),
     ) {
-        let (mut v, mut plain) = (Version::default(), Plain::default());
+        let (mut v, mut plain) = (whole(0, &Plain::default(), None), Plain::default());
         let mut kept = Vec::new();
         for (batch, shift) in batches {
             // Most batches follow on; some begin with what is known, some leave something out.
@@ -139,8 +179,8 @@
             same(v, plain)?;
         }
         // A whole catalogue told at once is the same as the one that was changed into it.
-        let whole = Version::whole(v.number(), plain.titles.values().cloned(), plain.gone.iter().copied());
-        same(&whole.unwrap(), &plain)?;
+        same(&whole(v.number(), &plain, None), &plain)?;
+        same(&whole(v.number(), &plain, Some(v)), &plain)?;
     }
 }
 
@@ -149,18 +189,50 @@
     let put = |title: Title| vec![Numbered { number: 1, change: Change::Put(title) }];
     let good =
         Title { name: "a".into(), rates: vec![1.0, 2.0], groups: 1, length: 1, holders: vec![ServerId(1)] };
-    assert!(Version::default().with(&put(good.clone())).is_ok());
+    let empty = whole(0, &Plain::default(), None);
+    assert!(empty.with(&put(good.clone())).is_ok());
     for bad in [
         Title { name: String::new(), ..good.clone() },
+        Title { name: "x".repeat(600), ..good.clone() },
         Title { rates: vec![], ..good.clone() },
         Title { rates: vec![2.0, 1.0], ..good.clone() },
         Title { rates: vec![f32::NAN], ..good.clone() },
+        Title { groups: 2, ..good.clone() },
         Title { holders: vec![ServerId(2), ServerId(1)], ..good.clone() },
         Title { holders: vec![ServerId(1), ServerId(1)], ..good.clone() },
     ] {
-        let told = Version::default().with(&put(bad)).unwrap_err();
+        let told = empty.with(&put(bad)).unwrap_err();
         assert!(matches!(told, Fault::Conflict { number: 1, .. }), "{told}");
     }
-    let twice = Version::whole(7, [good.clone(), good], []).unwrap_err();
-    assert_eq!(twice.to_string(), "change 7: title \"a\" is given twice");
+    let mut twice = Builder::new(7, vec!["g".into()], None).unwrap();
+    twice.title(Packed::new(&good).unwrap()).unwrap();
+    assert_eq!(twice.title(Packed::new(&good).unwrap()).unwrap_err(), "title \"a\" is given twice");
+}
+
+#[test]
+fn a_version_lives_as_long_as_a_reader_and_shares_what_is_the_same() {
+    let title = |n: u32| Title {
+        name: format!("t{n}"),
+        rates: vec![1.0],
+        groups: 1,
+        length: 1,
+        holders: vec![ServerId(n % 4)],
+    };
+    let plain =
+        Plain { titles: (0..1_000).map(|n| (format!("t{n}"), title(n))).collect(), ..Plain::default() };
+    let old = std::sync::Arc::new(whole(9, &plain, None));
+    let change = Change::AddHolder { name: "t5".into(), server: ServerId(9) };
+    let new = old.with(&[Numbered { number: 10, change }]).unwrap();
+    assert_eq!(old.title("t5").unwrap().holders().count(), 1);
+    assert_eq!(new.title("t5").unwrap().holders().count(), 2);
+    let (reader, gone) = (old.clone(), std::sync::Arc::downgrade(&old));
+    drop(old);
+    assert_eq!(reader.number(), 9);
+    drop(reader);
+    assert!(gone.upgrade().is_none(), "an old version outlives its last reader");
+    // A load beside it keeps the very bytes of the titles that are the same.
+    let again = whole(10, &plain, Some(new.clone()));
+    let same_bytes =
+        |n: &str| new.title(n).unwrap().bytes().as_ptr() == again.title(n).unwrap().bytes().as_ptr();
+    assert!(same_bytes("t6") && !same_bytes("t5"));
 }
