The front follows a catalogue while it serves; walnutline catalogue for operators

Need: true rates, news of thinly held titles' boxes and the places of titles ahead of requests, changeable at any moment and never over the request's own list.

A request is answered by one version throughout. Sessions carry their titles' true rates in the decisions' table (the one departure in the module) and in the manifest. Probes for boxes whose news is worth having stay within a price. Differences between requests and catalogue are counted, logged once a state, written down for `catalogue diff`. A stand-in publisher.

--- a/crates/catalogue-store/src/lib.rs
+++ b/crates/catalogue-store/src/lib.rs
@@ -70,7 +70,7 @@
 
 /// Writes a snapshot into a folder: there under its name once it is whole and on the disk.
 pub fn write_snapshot(folder: &Path, v: &Version, progress: Progress) -> Result<PathBuf, Fault> {
-    let mut part = Part::create(folder, v.number())?;
+    let mut part = Part::create(folder, "snapshot")?;
     let mut written = 0;
     for piece in snapshot::pieces(v) {
         part.write(&piece)?;
@@ -78,34 +78,35 @@
         // A piece of titles is some 64 kB; what it holds is not counted apart.
         progress(written, 0);
     }
-    part.finish()
+    part.finish(v.number())
 }
 
 /// A snapshot that is being written.
 pub struct Part {
+    folder: PathBuf,
     file: File,
     part: PathBuf,
-    whole: PathBuf,
 }
 
 impl Part {
-    pub fn create(folder: &Path, number: u64) -> Result<Part, Fault> {
-        let whole = folder.join(format!("snapshot-{number}.wcat"));
-        let part = whole.with_extension("part");
+    /// `name`: of the file while it is not whole.
+    pub fn create(folder: &Path, name: &str) -> Result<Part, Fault> {
+        let part = folder.join(name).with_extension("part");
         let file = File::create(&part).map_err(of(&part))?;
-        Ok(Part { file, part, whole })
+        Ok(Part { folder: folder.to_owned(), file, part })
     }
 
     pub fn write(&mut self, bytes: &[u8]) -> Result<(), Fault> {
         self.file.write_all(bytes).map_err(of(&self.part))
     }
 
-    pub fn finish(self) -> Result<PathBuf, Fault> {
+    /// All of it is written: it stands as the snapshot of this change.
+    pub fn finish(self, number: u64) -> Result<PathBuf, Fault> {
+        let whole = self.folder.join(format!("snapshot-{number}.wcat"));
         self.file.sync_all().map_err(of(&self.part))?;
-        fs::rename(&self.part, &self.whole).map_err(of(&self.whole))?;
-        let folder = self.whole.parent().unwrap_or(Path::new("."));
-        File::open(folder).and_then(|f| f.sync_all()).map_err(of(folder))?;
-        Ok(self.whole)
+        fs::rename(&self.part, &whole).map_err(of(&whole))?;
+        File::open(&self.folder).and_then(|f| f.sync_all()).map_err(of(&self.folder))?;
+        Ok(whole)
     }
 }
 
--- a/crates/catalogue/src/advice.rs
+++ b/crates/catalogue/src/advice.rs
@@ -40,6 +40,11 @@
         self.differences.count(v, told)
     }
 
+    /// Whether it is time to look for boxes to ask.
+    pub fn may_ask(&self, now: Ms) -> bool {
+        self.news.may_ask(now)
+    }
+
     /// Boxes to ask for their load now: see [`News::worth`].
     pub fn worth(&mut self, v: &Version, heard: impl Fn(ServerId) -> Option<Ms>, now: Ms) -> Vec<ServerId> {
         self.news.worth(&self.demand, v, heard, now)
--- a/crates/catalogue/src/news.rs
+++ b/crates/catalogue/src/news.rs
@@ -42,6 +42,11 @@
         self.saved = (self.saved + self.price.each).min(self.price.most);
     }
 
+    /// Whether enough is saved for a probe and the last look is long enough ago.
+    pub fn may_ask(&self, now: Ms) -> bool {
+        self.saved >= 1.0 && now - self.looked >= LOOK
+    }
+
     /// Boxes to ask now. `heard`: when news of a box was last heard; `None` for one that is not to be asked.
     pub fn worth(
         &mut self,
@@ -50,7 +55,7 @@
         heard: impl Fn(ServerId) -> Option<Ms>,
         now: Ms,
     ) -> Vec<ServerId> {
-        if self.saved < 1.0 || now - self.looked < LOOK {
+        if !self.may_ask(now) {
             return Vec::new();
         }
         self.looked = now;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The `walnutline` command.
 mod bench;
+mod catalogue;
 mod front;
 mod token;
 
@@ -23,6 +24,9 @@
     Front(front::Args),
     /// Check a settings document and tell every fault with its place.
     Check { file: PathBuf },
+    /// Load, look at and check a stored catalogue.
+    #[command(subcommand)]
+    Catalogue(catalogue::Command),
     /// Make keys and tokens.
     #[command(subcommand)]
     Token(token::Command),
@@ -47,6 +51,7 @@
     let done = match cli.command {
         Command::Front(args) => front::run(args),
         Command::Check { file } => front::check(&file),
+        Command::Catalogue(command) => catalogue::run(command),
         Command::Token(command) => token::run(command),
         Command::Rehearse(args) => walnutline_rehearsal::play::run(args),
         Command::Box(args) => walnutline_rehearsal::alone::one_box(args),
--- a/crates/desk/src/exchange.rs
+++ b/crates/desk/src/exchange.rs
@@ -23,6 +23,8 @@
     pub group: GroupNo,
     pub title: TitleId,
     pub holders: Vec<ServerId>,
+    /// The title's true rate at each rung, where it is known.
+    pub rates: Option<Arc<[f64]>>,
     pub top: u8,
     /// How long the viewer waits from now.
     pub left: Ms,
--- a/crates/desk/src/live.rs
+++ b/crates/desk/src/live.rs
@@ -93,6 +93,7 @@
             group: ask.group,
             title: ask.title,
             holders: Holders::named(ask.holders),
+            rates: ask.rates,
             top: ask.top,
             left: ask.left - self.waits.way_back,
         };
@@ -135,6 +136,22 @@
         Some((*server, self.desk.hand.sess.get(&id)?.rung, s.of.clone()))
     }
 
+    // ---- news asked for besides ----
+
+    /// When news of a box's link was last heard; `None` for a box that is not ready, or that the decisions have set
+    /// aside: those are theirs to try.
+    pub fn heard_at(&self, server: ServerId) -> Option<Ms> {
+        let s = self.desk.front.fleet.servers.get(&server)?;
+        (s.listed.listing == Listing::Ready && s.fails == 0)
+            .then(|| s.link.map_or(Ms::NEG_INFINITY, |seen| seen.at))
+    }
+
+    /// Asks boxes for their load, as the decisions do; what they answer goes to these all the same.
+    pub fn ask_news(&mut self, servers: Vec<ServerId>, now: Ms) {
+        servers.into_iter().for_each(|server| self.probe(server, now));
+        self.settle(now);
+    }
+
     // ---- the list ----
 
     pub fn listed_all(&mut self, lines: Vec<BoxLine>, now: Ms) {
--- a/crates/desk/tests/live.rs
+++ b/crates/desk/tests/live.rs
@@ -214,6 +214,7 @@
                     group: GroupNo(group),
                     title: TitleId(u64::from(holders)),
                     holders: named.into_iter().map(ServerId).collect(),
+                    rates: None,
                     top: 1,
                     left: PATIENCE,
                 };
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -41,7 +41,8 @@
     let token = ticket.session_token(shared, plays.server, now).ok_or("no session key is in force")?;
     let group = &shared.groups[ticket.group];
     let in_force = group.floor..=plays.rung.max(group.floor);
-    let rate = |rung: u8| Some((rung, shared.ladder.get(rung as usize)? * group.scale));
+    let ladder = ticket.rates.as_deref().unwrap_or(&shared.ladder);
+    let rate = |rung: u8| Some((rung, ladder.get(rung as usize)? * group.scale));
     let told = mpd::Told {
         title: &ticket.title,
         base_url: format!("{}/s/{}/{token}/", plays.media, ticket.id.0),
--- /dev/null
+++ b/crates/front/src/catalogue.rs
@@ -0,0 +1,391 @@
+//! Keeps the catalogue: reads what was stored, follows its publisher, writes changes ahead of putting them in force.
+//! One thread, since its reads and its disk wait; requests only ever take the version in force. Where a publisher
+//! stands is [`follow::Follow`]'s to say; what is kept, [`keep`]'s.
+use crate::clock::Clock;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+use walnutline::ids::ServerId;
+use walnutline_catalogue::current::{Current, Writer};
+use walnutline_catalogue::differ::Sort;
+use walnutline_catalogue::follow::{Follow, Next};
+use walnutline_catalogue::version::Version;
+use walnutline_catalogue::{keep, snapshot, wire};
+use walnutline_catalogue_store::{write_snapshot, Fault, Part, Store};
+use walnutline_control::events::{Event, Reader};
+use walnutline_desk::live::Waits;
+use walnutline_desk::retry::Retry;
+use walnutline_settings::CatalogueTerms;
+
+/// Longest header of an answer.
+const HEADER: usize = 16 * 1024;
+/// Bytes read at once.
+const READ: usize = 256 * 1024;
+/// How often what is due beside the stream is looked after.
+const BEAT: Duration = Duration::from_millis(200);
+/// While changes are gathered, reads wait no longer than this.
+const GATHERING: Duration = Duration::from_millis(5);
+
+/// Counts of differences by sort and box.
+pub type Counts = Vec<(Sort, Option<ServerId>, u64)>;
+
+/// What requests have of the catalogue.
+pub struct Known {
+    current: Arc<Current>,
+    pub terms: CatalogueTerms,
+    /// Differences counted so far, where they changed since they were last written down.
+    differences: Mutex<Option<Counts>>,
+}
+
+impl Known {
+    /// The version in force, for a whole request; `None` while there is no catalogue.
+    pub fn load(&self) -> Option<Arc<Version>> {
+        let v = self.current.load();
+        (!v.is_empty()).then_some(v)
+    }
+
+    /// Hands counts over to be written where `walnutline catalogue diff` finds them.
+    pub fn differ(&self, counts: Counts) {
+        *self.differences.lock().unwrap_or_else(|e| e.into_inner()) = Some(counts);
+    }
+}
+
+struct Keeper {
+    known: Arc<Known>,
+    clock: Clock,
+    waits: Waits,
+    writer: Writer,
+    /// Without it the catalogue is kept in memory alone.
+    store: Option<Store>,
+    follow: Follow,
+    /// Changes since the newest snapshot, and the snapshot that is being written.
+    since: u64,
+    snapshot: Option<JoinHandle<Result<PathBuf, Fault>>>,
+}
+
+/// Reads the store and starts to follow. A store that cannot be read is told of, and the front starts without it.
+pub fn start(terms: CatalogueTerms, clock: Clock, waits: Waits, seed: u64) -> io::Result<Arc<Known>> {
+    let (mut writer, mut store, mut since) = (Writer::default(), None, 0);
+    match Store::open(&terms.folder, &mut |_, _| {}) {
+        Ok((opened, held)) => {
+            held.faults.iter().for_each(|f| tracing::error!(target: "walnutline::mode", "catalogue: {f}"));
+            if let Some(v) = held.version {
+                tracing::info!(target: "walnutline::mode", number = v.number(), titles = v.len(), "catalogue read");
+                writer.publish(v);
+            } else {
+                tracing::info!(target: "walnutline::mode", "starts without a catalogue: none is stored");
+            }
+            (store, since) = (Some(opened), held.since);
+        }
+        Err(fault) => {
+            tracing::error!(target: "walnutline::mode", "starts without a catalogue and keeps none: {fault}");
+        }
+    }
+    let current = writer.current();
+    let have = current.load();
+    let known = Arc::new(Known { current, terms, differences: Mutex::default() });
+    let mut keeper = Keeper {
+        known: known.clone(),
+        clock,
+        waits,
+        writer,
+        store,
+        follow: Follow::from((!have.is_empty()).then(|| have.number())),
+        since,
+        snapshot: None,
+    };
+    drop(have);
+    std::thread::Builder::new().name("catalogue".into()).spawn(move || keeper.run(seed))?;
+    Ok(known)
+}
+
+impl Keeper {
+    fn run(&mut self, seed: u64) {
+        let Some((at, path)) = self.known.terms.source.clone() else {
+            loop {
+                self.beat();
+                std::thread::sleep(BEAT);
+            }
+        };
+        let (mut retry, mut rng) = (Retry::default(), fastrand::Rng::with_seed(seed.rotate_left(16)));
+        loop {
+            let done = match self.follow.next() {
+                Next::Whole => self.whole(at, &format!("{path}/snapshot")),
+                Next::After(n) => self.changes(at, &format!("{path}/changes"), n, &mut retry),
+            };
+            let why = match done {
+                Ok(()) if self.follow.next() != Next::Whole => continue,
+                Ok(()) => "the changes after ours are no longer to be had".into(),
+                Err(e) => e.to_string(),
+            };
+            let wait = retry.failed(&mut rng);
+            tracing::info!(target: "walnutline::mode", "catalogue away why={why:?} again_in={wait:.0}");
+            let until = self.clock.now() + wait;
+            while self.clock.now() < until {
+                self.beat();
+                std::thread::sleep(BEAT.min(Duration::from_secs_f64(wait / 1_000.0)));
+            }
+        }
+    }
+
+    /// What is due beside the stream.
+    fn beat(&mut self) {
+        self.writer.sweep();
+        let counts = self.known.differences.lock().unwrap_or_else(|e| e.into_inner()).take();
+        if let Some(counts) = counts {
+            let file = self.known.terms.folder.join("differences.json");
+            if let Err(e) = write_counts(&file, &counts) {
+                tracing::error!("catalogue: {}: {e}", file.display());
+            }
+        }
+        if self.snapshot.as_ref().is_some_and(|s| s.is_finished()) {
+            let done = self.snapshot.take().and_then(|s| s.join().ok());
+            let pruned = match (done, &self.store) {
+                (Some(Ok(_)), Some(store)) => store.prune(),
+                (Some(Err(fault)), _) => Err(fault),
+                _ => Ok(()),
+            };
+            if let Err(fault) = pruned {
+                tracing::error!("catalogue: snapshot: {fault}");
+            }
+        }
+        let v = self.writer.current().load();
+        if self.store.is_some() && self.snapshot.is_none() && keep::snapshot_due(self.since, v.len()) {
+            self.since = 0;
+            let folder = self.known.terms.folder.clone();
+            let write = move || write_snapshot(&folder, &v, &mut |_, _| {});
+            self.snapshot = std::thread::Builder::new().name("snapshot".into()).spawn(write).ok();
+        }
+    }
+
+    /// Fetches a whole catalogue beside the one in force. It is on the disk before it is in force.
+    fn whole(&mut self, at: SocketAddr, path: &str) -> io::Result<()> {
+        let beside = self.writer.current().load();
+        let mut reader = snapshot::Reader::new((!beside.is_empty()).then_some(beside));
+        let folder = self.known.terms.folder.clone();
+        let mut part =
+            self.store.is_some().then(|| Part::create(&folder, "fetched")).transpose().map_err(other)?;
+        let mut body = Body::open(at, path, "", self.waits)?;
+        let mut told = 0;
+        loop {
+            let piece = match body.read()? {
+                Got::Bytes(n) => &body.bytes[..n],
+                Got::End => break,
+                Got::Nothing => {
+                    self.beat();
+                    continue;
+                }
+            };
+            reader.push(piece).map_err(other)?;
+            if let Some(part) = &mut part {
+                part.write(piece).map_err(other)?;
+            }
+            let (done, all) = reader.progress();
+            if all > 0 && done * 10 / all > told {
+                told = done * 10 / all;
+                tracing::info!("catalogue: {done} of {all} titles fetched");
+            }
+        }
+        let v = reader.finish().map_err(other)?;
+        let (number, titles) = (v.number(), v.len());
+        if let (Some(part), Some(store)) = (part, &self.store) {
+            part.finish(number).and_then(|_| store.replaced_by(number)).map_err(other)?;
+        }
+        self.writer.publish(v);
+        self.follow.in_force(number);
+        self.since = 0;
+        tracing::info!(target: "walnutline::mode", number, titles, "catalogue in force");
+        Ok(())
+    }
+
+    fn changes(&mut self, at: SocketAddr, path: &str, after: u64, retry: &mut Retry) -> io::Result<()> {
+        let mut body = Body::open(at, path, &format!("Last-Event-ID: {after}\r\n"), self.waits)?;
+        let mut events = Reader::default();
+        loop {
+            body.wait_at_most(if self.follow.due().is_some() { GATHERING } else { BEAT })?;
+            match body.read() {
+                Ok(Got::Bytes(n)) => {
+                    let heard = events.push(&body.bytes[..n]).map_err(other)?;
+                    for event in heard {
+                        if event.name == "too-old" {
+                            self.follow.too_old();
+                            return Ok(());
+                        }
+                        self.heard(event)?;
+                    }
+                    // A stream that breaks at its first change has not worked.
+                    if self.follow.due().is_none() {
+                        retry.worked();
+                    }
+                }
+                // What was heard whole before its end is in force too.
+                Ok(Got::End) => {
+                    self.apply()?;
+                    return Err(other("its end"));
+                }
+                Ok(Got::Nothing) => {}
+                Err(e) => {
+                    self.apply()?;
+                    return Err(e);
+                }
+            }
+            if self.follow.due().is_some_and(|t| t <= self.clock.now()) {
+                self.apply()?;
+                retry.worked();
+            }
+            self.beat();
+        }
+    }
+
+    fn heard(&mut self, event: Event) -> io::Result<()> {
+        if event.name != "change" {
+            return Ok(());
+        }
+        match wire::read(&event.data) {
+            Ok(n) => self.follow.heard(n, self.clock.now()),
+            Err(why) => {
+                tracing::error!("catalogue: event {:?}: {why}", event.id);
+                // What it said is missing: it is asked for again, and if it is no better then, all is fetched.
+                self.apply()?;
+                let have = self.writer.current().load().number();
+                self.follow.refused(&walnutline_catalogue::change::Fault::Gap { have, got: have + 2 });
+                return Err(other(why));
+            }
+        }
+        // A burst longer than a batch is applied as it comes.
+        if self.follow.due() == Some(f64::NEG_INFINITY) {
+            self.apply()?;
+        }
+        Ok(())
+    }
+
+    /// Puts the gathered changes in force: whole and on the disk, or not at all.
+    fn apply(&mut self) -> io::Result<()> {
+        let batch = self.follow.take();
+        if batch.is_empty() {
+            return Ok(());
+        }
+        let next = match self.writer.current().load().with(&batch) {
+            Ok(next) => next,
+            Err(fault) => {
+                tracing::warn!(target: "walnutline::mode", "catalogue: {fault}");
+                self.follow.refused(&fault);
+                return Err(other(fault));
+            }
+        };
+        if let Some(store) = &self.store {
+            if let Err(fault) = store.append(&batch) {
+                // Better new and not kept than old: what is on the disk stays whole, and lacks these.
+                tracing::error!(target: "walnutline::mode", "catalogue is no longer kept: {fault}");
+                self.store = None;
+            }
+        }
+        self.since += batch.len() as u64;
+        self.follow.in_force(next.number());
+        self.writer.publish(next);
+        Ok(())
+    }
+}
+
+fn other(e: impl std::fmt::Display) -> io::Error {
+    io::Error::other(e.to_string())
+}
+
+fn write_counts(file: &Path, counts: &Counts) -> io::Result<()> {
+    let line = |(sort, server, n): &(Sort, Option<ServerId>, u64)| {
+        serde_json::json!({ "sort": sort.name(), "box": server.map(|s| s.0), "count": n }).to_string()
+    };
+    let lines: Vec<String> = counts.iter().map(line).collect();
+    let part = file.with_extension("json.new");
+    std::fs::write(&part, format!("[{}]\n", lines.join(",\n")))?;
+    std::fs::rename(&part, file)
+}
+
+/// The body of an answer, as it comes. HTTP/1.0, so that it comes plain and not in chunks.
+struct Body {
+    stream: TcpStream,
+    bytes: Vec<u8>,
+    /// What came with the header.
+    first: Vec<u8>,
+    /// How long one read waits, when anything was last heard, and for how long that may be ago.
+    wait: Duration,
+    heard: Instant,
+    silence: Duration,
+}
+
+impl Body {
+    fn open(at: SocketAddr, path: &str, header: &str, waits: Waits) -> io::Result<Body> {
+        let within = |ms: f64| Duration::from_secs_f64(ms / 1_000.0);
+        let mut stream = TcpStream::connect_timeout(&at, within(waits.connect))?;
+        stream.set_read_timeout(Some(within(waits.silence)))?;
+        stream.set_write_timeout(Some(within(waits.silence)))?;
+        stream.write_all(format!("GET {path} HTTP/1.0\r\nHost: {at}\r\n{header}\r\n").as_bytes())?;
+        let (mut bytes, mut head) = (vec![0; READ + HEADER], Vec::new());
+        let end = loop {
+            let n = stream.read(&mut bytes[..READ])?;
+            if n == 0 || head.len() > HEADER {
+                return Err(other("no whole header"));
+            }
+            head.extend_from_slice(&bytes[..n]);
+            if let Some(end) = head.windows(4).position(|w| w == b"\r\n\r\n") {
+                break end + 4;
+            }
+        };
+        if !head.starts_with(b"HTTP/1.") || head.get(9..12) != Some(b"200") {
+            let first = String::from_utf8_lossy(&head[..head.len().min(60)]).into_owned();
+            return Err(other(format!("answered {:?}", first.lines().next().unwrap_or(""))));
+        }
+        let mut body = Body {
+            stream,
+            bytes,
+            first: head.split_off(end),
+            wait: Duration::ZERO,
+            heard: Instant::now(),
+            silence: within(waits.silence),
+        };
+        body.wait_at_most(BEAT)?;
+        Ok(body)
+    }
+
+    fn wait_at_most(&mut self, wait: Duration) -> io::Result<()> {
+        if self.wait != wait {
+            self.stream.set_read_timeout(Some(wait))?;
+            self.wait = wait;
+        }
+        Ok(())
+    }
+
+    /// Reads what comes next into `bytes`; an error also where nothing was heard for too long.
+    fn read(&mut self) -> io::Result<Got> {
+        if !self.first.is_empty() {
+            let n = self.first.len();
+            self.bytes[..n].copy_from_slice(&self.first);
+            self.first.clear();
+            return Ok(Got::Bytes(n));
+        }
+        match self.stream.read(&mut self.bytes) {
+            Ok(0) => Ok(Got::End),
+            Ok(n) => {
+                self.heard = Instant::now();
+                Ok(Got::Bytes(n))
+            }
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                if self.heard.elapsed() > self.silence {
+                    return Err(e);
+                }
+                Ok(Got::Nothing)
+            }
+            Err(e) => Err(e),
+        }
+    }
+}
+
+enum Got {
+    Bytes(usize),
+    /// Nothing came within the time of one read.
+    Nothing,
+    End,
+}
--- a/crates/front/src/hub.rs
+++ b/crates/front/src/hub.rs
@@ -11,6 +11,9 @@
 use std::time::Duration;
 use walnutline::ids::{ServerId, SessId};
 use walnutline::terms::Terms;
+use walnutline_catalogue::advice::Advisor;
+use walnutline_catalogue::differ::Told;
+use walnutline_catalogue::version::Version;
 use walnutline_desk::live::{Answer, Ask, BoxLine, Do, FromBox, Live, Waits};
 use walnutline_gate::claims::SessionClaims;
 
@@ -25,6 +28,8 @@
     pub group: usize,
     /// When its request was read.
     pub at: f64,
+    /// Its title's true rates by rung, where they are reckoned with.
+    pub rates: Option<Arc<[f64]>>,
     /// Where its answer goes.
     pub to: may::sync::mpsc::Sender<Msg>,
     /// The session's token for the box that it was last minted for.
@@ -32,8 +37,15 @@
 }
 
 impl Ticket {
-    pub fn new(id: SessId, title: String, group: usize, at: f64, to: may::sync::mpsc::Sender<Msg>) -> Self {
-        Ticket { id, title, group, at, to, minted: Mutex::new(None) }
+    pub fn new(
+        id: SessId,
+        title: String,
+        group: usize,
+        at: f64,
+        rates: Option<Arc<[f64]>>,
+        to: may::sync::mpsc::Sender<Msg>,
+    ) -> Self {
+        Ticket { id, title, group, at, rates, to, minted: Mutex::new(None) }
     }
 
     /// The session's token at a box: minted once for the SETUP and its answer alike.
@@ -60,6 +72,8 @@
     Asked {
         ask: Ask,
         ticket: Ticket,
+        /// The catalogue's version that the request is answered by.
+        known: Option<Arc<Version>>,
     },
     Left(SessId),
     /// A renewed manifest is asked for.
@@ -112,8 +126,14 @@
     live: Live<Ticket>,
     media: HashMap<ServerId, Arc<str>>,
     lines: HashMap<ServerId, (u64, Line)>,
+    advisor: Option<Advisor>,
+    /// When differences were last handed over to be written, and whether there are others since.
+    differed: (f64, bool),
 }
 
+/// How often differences are handed over, in milliseconds.
+const DIFFER: f64 = 1_000.0;
+
 pub fn start(
     shared: Arc<Shared>,
     news: Receiver<News>,
@@ -122,7 +142,9 @@
     seed: u64,
 ) -> io::Result<()> {
     let live = Live::new(terms, waits, seed, shared.clock.now());
-    let mut hub = Hub { shared, live, media: HashMap::new(), lines: HashMap::new() };
+    let advisor = shared.catalogue.as_ref().map(|k| Advisor::new(k.terms.price));
+    let mut hub =
+        Hub { shared, live, media: HashMap::new(), lines: HashMap::new(), advisor, differed: (0.0, false) };
     std::thread::Builder::new().name("hub".into()).spawn(move || {
         let _guard = Guard;
         hub.run(news)
@@ -158,6 +180,7 @@
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
+            self.ask_news(clock.now());
             self.live.attend(clock.now());
             for what in self.live.take() {
                 self.perform(what);
@@ -167,7 +190,10 @@
 
     fn event(&mut self, news: News, now: f64) {
         match news {
-            News::Asked { mut ask, ticket } => {
+            News::Asked { mut ask, ticket, known } => {
+                if let Some(v) = known {
+                    self.advise(&v, &ask, &ticket, now);
+                }
                 // What passed since it was read, in queues or in a stall, counts against its viewer's time.
                 ask.left -= now - ticket.at;
                 self.live.asked(ticket.id, ask, ticket, now);
@@ -209,6 +235,33 @@
         }
     }
 
+    /// What the catalogue has to say of a request, and it of the catalogue.
+    fn advise(&mut self, v: &Version, ask: &Ask, ticket: &Ticket, now: f64) {
+        let Some(advisor) = &mut self.advisor else { return };
+        let group = &self.shared.groups[ticket.group].name;
+        let rungs = self.shared.ladder.len();
+        let told = Told { title: &ticket.title, group, holders: &ask.holders, rungs };
+        for d in advisor.asked(v, &told, now) {
+            let (difference, server) = (d.sort.name(), d.server.map(|s| s.0));
+            tracing::info!(target: "walnutline::catalogue", title = ticket.title, difference, server, "differs");
+        }
+        self.differed.1 = true;
+    }
+
+    fn ask_news(&mut self, now: f64) {
+        let (Some(advisor), Some(known)) = (&mut self.advisor, &self.shared.catalogue) else { return };
+        if self.differed.1 && now - self.differed.0 > DIFFER {
+            self.differed = (now, false);
+            known.differ(advisor.differences().counts().collect());
+        }
+        if advisor.may_ask(now) {
+            if let Some(v) = known.load() {
+                let servers = advisor.worth(&v, |s| self.live.heard_at(s), now);
+                self.live.ask_news(servers, now);
+            }
+        }
+    }
+
     fn perform(&mut self, what: Do<Ticket>) {
         match what {
             Do::Connect { server, conn, address } => {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -4,9 +4,11 @@
 //! - [`viewer`]: viewers' connections; [`http`] reads their requests, [`door`] checks tokens, [`answer`] writes.
 //! - [`watch`]: cuts off connections that are overdue.
 //! - [`boxes`]: control connections. [`list`]: the list of boxes.
+//! - [`catalogue`]: titles and their places, known ahead of requests.
 //! - [`clock`]: the one clock.
 pub mod answer;
 pub mod boxes;
+pub mod catalogue;
 pub mod clock;
 pub mod door;
 pub mod http;
@@ -38,6 +40,7 @@
     pub ladder: Vec<f64>,
     pub groups: Vec<GroupTerms>,
     pub public_url: String,
+    pub catalogue: Option<Arc<catalogue::Known>>,
     pub hub: crossbeam_channel::Sender<hub::News>,
     pub watch: Arc<watch::Watch>,
     /// Set once the front takes no more viewers.
@@ -94,6 +97,7 @@
         let g = &d.terms.groups[n];
         GroupTerms { name: name.clone(), scale: g.scale, floor: g.floor, top: g.top, patience: *patience }
     };
+    let known = d.catalogue.map(|terms| catalogue::start(terms, clock, d.waits, seed)).transpose()?;
     let (hub, news) = crossbeam_channel::unbounded();
     let shared = Arc::new(Shared {
         clock,
@@ -103,6 +107,7 @@
         ladder: d.terms.rung_kb.clone(),
         groups: d.groups.iter().enumerate().map(group).collect(),
         public_url: d.public_url.unwrap_or_else(|| format!("http://{address}")),
+        catalogue: known,
         hub,
         watch: watch::Watch::start(clock)?,
         stopping: AtomicBool::new(false),
--- a/crates/front/src/viewer.rs
+++ b/crates/front/src/viewer.rs
@@ -13,6 +13,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use walnutline::ids::{GroupNo, ServerId, SessId, TitleId};
+use walnutline_catalogue::advice;
+use walnutline_catalogue::version::Version;
 use walnutline_desk::live::Ask;
 use walnutline_gate::claims::Claims;
 use walnutline_gate::verdict::Refusal;
@@ -287,9 +289,13 @@
             Ok((ask, title)) => {
                 let id = self.names.next();
                 let group = usize::from(ask.group.0);
-                let ticket = Ticket::new(id, title, group, request.at, self.inbox.clone());
+                // The one version that all of this request is answered by.
+                let known = shared.catalogue.as_ref().and_then(|k| k.load());
+                let rates = known.as_ref().and_then(|v| self.rates(v, &title));
+                let ask = Ask { rates: rates.clone(), ..ask };
+                let ticket = Ticket::new(id, title, group, request.at, rates, self.inbox.clone());
                 shared.in_hand.fetch_add(1, Ordering::SeqCst);
-                let _ = shared.hub.send(News::Asked { ask, ticket });
+                let _ = shared.hub.send(News::Asked { ask, ticket, known });
                 Begun::Waits { id, renews: false }
             }
             Err(refusal) => {
@@ -311,12 +317,19 @@
             group: GroupNo(group as u16),
             title: title_id(&title),
             holders: claims.holders.iter().map(|h| ServerId(*h)).collect(),
+            rates: None,
             top: top.min(claims.top.unwrap_or(u8::MAX)).min(groups[group].top),
             left: of_query("wait").filter(|w| *w > 0.0).map_or(patience, |w| w.min(patience)),
         };
         Ok((ask, title))
     }
 
+    /// The title's true rates, where the catalogue has them and they are to be reckoned with.
+    fn rates(&self, v: &Version, title: &str) -> Option<Arc<[f64]>> {
+        let wanted = self.shared.catalogue.as_ref().is_some_and(|k| k.terms.rates);
+        advice::rates(v, title, self.shared.ladder.len()).filter(|_| wanted)
+    }
+
     fn renew(&self, id: &str, request: &Request) -> Begun {
         let token = http::query(&request.query, "CAT");
         let own =
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! - [`script`]: the language of bad days. [`play`]: a day played on a depot with real fronts.
 //! - [`depot`]: what boxes are and carry. [`boxes`], [`list`], [`viewers`]: their sockets.
-//! - [`alone`]: the stand-ins one by one.
+//! - [`publisher`]: the stand-in of a catalogue's publisher. [`alone`]: the stand-ins one by one.
 //! - [`record`]: what was seen. [`audit`]: the rules and the service, judged from that alone.
 pub mod alone;
 pub mod audit;
@@ -12,6 +12,7 @@
 pub mod list;
 pub mod net;
 pub mod play;
+pub mod publisher;
 pub mod record;
 pub mod script;
 pub mod viewers;
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -1,10 +1,11 @@
 //! From the document to plain values: ranges, names and what has to fit together. All faults are told at once.
 use crate::document::*;
-use crate::{Deployment, ManifestTerms, ViewerLimits};
+use crate::{CatalogueTerms, Deployment, ManifestTerms, ViewerLimits};
 use std::net::SocketAddr;
 use std::path::Path;
 use walnutline::ids::Ms;
 use walnutline::terms::{Budget, ColdTerms, Column, Group as TermsGroup, Repeat, Scope, Terms};
+use walnutline_catalogue::news::Price;
 use walnutline_dash::{from_base64, SigningKey, VerifyingKey};
 use walnutline_desk::live::Waits;
 use walnutline_gate::keys::{Entry, Ring};
@@ -43,7 +44,7 @@
 pub fn deployment(d: Document, folder: &Path) -> Result<Deployment, Vec<(usize, String)>> {
     let mut f = Faults::default();
     let listen = address(&d.listen, "listen", &mut f);
-    let (list, list_path) = list(&d.list, &mut f);
+    let (list, list_path) = source(&d.list, "list", &mut f);
     let rungs = &d.ladder.rungs;
     if rungs.is_empty() || rungs.len() > 64 {
         f.tell(d.listen.at, "ladder: between 1 and 64 rungs are needed");
@@ -142,6 +143,19 @@
         update: f.time(d.manifest.update, "update"),
         token_lasts: f.time(d.manifest.token_lasts, "token-lasts"),
     };
+    let catalogue = d.catalogue.as_ref().map(|c| CatalogueTerms {
+        folder: folder.join(&c.folder.value),
+        source: c.source.as_ref().and_then(|s| {
+            let (address, path) = source(s, "source", &mut f);
+            address.map(|a| (a, path.trim_end_matches('/').to_owned()))
+        }),
+        price: Price {
+            each: f.within(c.probes_each, "probes-each", 0.0, 10.0),
+            most: f.within(c.probes_saved, "probes-saved", 0.0, 1e5),
+            old: f.time(c.news_old, "news-old"),
+        },
+        rates: c.rates.unwrap_or(true),
+    });
     let admission = Admission {
         proof_age: f.time(d.tokens.proof_age, "proof-age"),
         clock_skew: f.within(d.tokens.clock_skew, "clock-skew", 0.0, 3_600_000.0),
@@ -170,6 +184,7 @@
         admission,
         proofs,
         manifest,
+        catalogue,
         issuer,
         session,
     })
@@ -220,13 +235,13 @@
 }
 
 /// `http://address:port/path`; names are not looked up.
-fn list(text: &Text, f: &mut Faults) -> (Option<SocketAddr>, String) {
+fn source(text: &Text, name: &str, f: &mut Faults) -> (Option<SocketAddr>, String) {
     let rest = text.value.strip_prefix("http://").unwrap_or_default();
     let (host, path) = rest.split_once('/').unwrap_or((rest, ""));
     match host.parse() {
         Ok(address) => (Some(address), format!("/{path}")),
         Err(_) => {
-            f.tell(text.at, format!("list: {:?} is not http://address:port/path", text.value));
+            f.tell(text.at, format!("{name}: {:?} is not http://address:port/path", text.value));
             (None, String::new())
         }
     }
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -94,6 +94,25 @@
     pub tokens: Tokens,
     #[knus(child)]
     pub manifest: Manifest,
+    #[knus(child)]
+    pub catalogue: Option<Catalogue>,
+}
+
+#[derive(knus::Decode)]
+pub struct Catalogue {
+    /// Beside the settings.
+    #[knus(property)]
+    pub folder: Text,
+    #[knus(property)]
+    pub source: Option<Text>,
+    #[knus(property)]
+    pub probes_each: Num,
+    #[knus(property)]
+    pub probes_saved: Num,
+    #[knus(property)]
+    pub news_old: Num,
+    #[knus(property)]
+    pub rates: Option<bool>,
 }
 
 #[derive(knus::Decode)]
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,12 +2,14 @@
 //! column. What differs by service group, and all limits, come from here; nothing here decides.
 mod check;
 mod document;
+pub mod titles;
 
 use knus::span::Span;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use walnutline::ids::Ms;
 use walnutline::terms::Terms;
+use walnutline_catalogue::news::Price;
 use walnutline_dash::{SigningKey, VerifyingKey};
 use walnutline_desk::live::Waits;
 use walnutline_gate::keys::Ring;
@@ -32,6 +34,8 @@
     /// Proofs that are remembered at most within their window.
     pub proofs: usize,
     pub manifest: ManifestTerms,
+    /// None: the front has no catalogue.
+    pub catalogue: Option<CatalogueTerms>,
     /// Keys that viewers' tokens are signed with.
     pub issuer: Ring<VerifyingKey>,
     /// Keys that sessions' tokens are signed with.
@@ -54,6 +58,18 @@
     pub write_time: Ms,
 }
 
+/// Where the catalogue is kept and followed, and what is made of it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CatalogueTerms {
+    pub folder: PathBuf,
+    /// Its publisher: address, and the path that `/snapshot` and `/changes` stand under.
+    pub source: Option<(SocketAddr, String)>,
+    /// What news of boxes may cost that is asked for ahead of requests.
+    pub price: Price,
+    /// Whether titles' true rates are reckoned with.
+    pub rates: bool,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ManifestTerms {
     pub segment: Ms,
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -186,6 +186,7 @@
         group: GroupNo(group),
         title: TitleId(title),
         holders: Holders::Cells { home: CellNo(home as u32), span: span as u32 },
+        rates: None,
         top: top as u8,
         left,
     })
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -424,7 +424,7 @@
     /// watching: there, a busy reply does less harm than one more session. It can turn viewers away for
     /// nothing while a shortage that was heard is already over; a guess at what was not heard turns nobody away.
     fn has_room(&self, hand: &Hand, loads: &Loads, server: ServerId, new: &Sess) -> bool {
-        let floor = |s: &Sess| self.terms.rate(s.group, self.terms.groups[s.group.0 as usize].floor);
+        let floor = |s: &Sess| s.rate(&self.terms, self.terms.groups[s.group.0 as usize].floor);
         let height = self.lowest(hand, |s| s.at.is_some());
         let r = &self.fleet.servers[&server];
         let rack = self.terms.rack(r.listed.cell);
@@ -438,10 +438,9 @@
     /// What is left of the load of these sessions once each stands at its lowest rung, as a share of it; a front
     /// that has none knows nothing of heights and turns nobody away for them.
     fn lowest(&self, hand: &Hand, of: impl Fn(&Sess) -> bool) -> f64 {
-        let floor = |s: &Sess| self.terms.rate(s.group, self.terms.groups[s.group.0 as usize].floor);
+        let floor = |s: &Sess| s.rate(&self.terms, self.terms.groups[s.group.0 as usize].floor);
         let of = hand.sess.values().filter(|s| of(s));
-        let (least, now) =
-            of.fold((0.0, 0.0), |(a, b), s| (a + floor(s), b + self.terms.rate(s.group, s.rung)));
+        let (least, now) = of.fold((0.0, 0.0), |(a, b), s| (a + floor(s), b + s.rate(&self.terms, s.rung)));
         least / now.max(1e-3)
     }
 
@@ -459,7 +458,7 @@
     fn rung_for(&self, loads: &Loads, server: ServerId, s: &Sess) -> u8 {
         let floor = self.terms.groups[s.group.0 as usize].floor;
         let fits = |rung: &u8| {
-            let used = self.fuller_with(loads, server, self.terms.rate(s.group, *rung));
+            let used = self.fuller_with(loads, server, s.rate(&self.terms, *rung));
             let lower = ((used - START_MARK) / STEP).ceil().max(0.0);
             (s.top - *rung) as f64 >= lower
         };
@@ -470,7 +469,7 @@
     fn shed(&mut self, hand: &mut Hand, line: Line, fits: f64, now: Ms) -> bool {
         let terms = &self.terms;
         let mut load: f64 =
-            hand.sess.values().filter(|s| self.on_line(s, line)).map(|s| terms.rate(s.group, s.rung)).sum();
+            hand.sess.values().filter(|s| self.on_line(s, line)).map(|s| s.rate(terms, s.rung)).sum();
         let on_it = hand.sess.iter().filter(|(_, s)| s.playing && self.on_line(s, line));
         let mut newest: Vec<(Ms, SessId)> = on_it.map(|(id, s)| (s.came, *id)).collect();
         newest.sort_by(|a, b| b.0.total_cmp(&a.0).then(b.1.cmp(&a.1)));
@@ -481,14 +480,14 @@
                 break;
             }
             if now - s.stepped >= HOLD && s.rung > terms.groups[s.group.0 as usize].floor {
-                let less = terms.rate(s.group, s.rung) - terms.rate(s.group, s.rung - 1);
+                let less = s.rate(terms, s.rung) - s.rate(terms, s.rung - 1);
                 // A rung may be far more than this front's part of the excess: the last one goes by chance,
                 // or all fronts together would shed several times what is too much.
                 if load - fits < less * self.rng.f64() {
                     break;
                 }
                 load -= less;
-                (s.was_kb, s.changed) = (terms.rate(s.group, s.rung), now);
+                (s.was_kb, s.changed) = (s.rate(terms, s.rung), now);
                 (s.rung, s.stepped) = (s.rung - 1, now);
                 self.rungs.push((id, s.rung));
             }
@@ -521,21 +520,21 @@
         for (id, s) in &hand.sess {
             if s.playing && s.at == Some(server) && s.rung < s.top && now - s.stepped >= HOLD {
                 let more = terms.rung_utility[s.rung as usize + 1] - terms.rung_utility[s.rung as usize];
-                let kb = terms.rate(s.group, s.rung + 1) - terms.rate(s.group, s.rung);
+                let kb = s.rate(terms, s.rung + 1) - s.rate(terms, s.rung);
                 up.push((terms.groups[s.group.0 as usize].utility * more / kb, *id));
             }
         }
         up.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         for (_, id) in up {
             let s = hand.sess.get_mut(&id).expect("a session that was just listed");
-            let kb = self.terms.rate(s.group, s.rung + 1) - self.terms.rate(s.group, s.rung);
+            let kb = s.rate(&self.terms, s.rung + 1) - s.rate(&self.terms, s.rung);
             let part = self.fleet.servers[&server].room_kb;
             let fits = self.fuller_with(&loads, server, kb) < MARK && part >= kb * self.rng.f64();
             self.fleet.servers.get_mut(&server).expect("listed").room_kb = if fits { part - kb } else { 0.0 };
             if !fits {
                 break;
             }
-            (s.was_kb, s.changed) = (self.terms.rate(s.group, s.rung), now);
+            (s.was_kb, s.changed) = (s.rate(&self.terms, s.rung), now);
             (s.rung, s.stepped) = (s.rung + 1, now);
             loads.entry(server).or_default().kb += kb;
             self.rungs.push((id, s.rung));
--- a/src/front.rs
+++ b/src/front.rs
@@ -99,6 +99,8 @@
             group: r.group,
             title: r.title,
             holders: r.holders,
+            // Rates that do not fit the ladder tell nothing of its rungs.
+            rates: r.rates.filter(|kb| kb.len() == self.terms.rung_kb.len()),
             top: r.top.min(g.top).max(g.floor),
             came: now,
             until: now + r.left,
--- a/src/hand.rs
+++ b/src/hand.rs
@@ -3,12 +3,14 @@
 use crate::interface::Holders;
 use crate::terms::Terms;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 #[derive(Debug, Clone)]
 pub struct Sess {
     pub group: GroupNo,
     pub title: TitleId,
     pub holders: Holders,
+    pub rates: Option<Arc<[f64]>>,
     /// Highest rung that the viewer can use.
     pub top: u8,
     pub came: Ms,
@@ -37,6 +39,16 @@
     pub held_until: Option<Ms>,
 }
 
+impl Sess {
+    /// What it asks of a link at a rung, in kB a second: by its title's true rates, else by the ladder.
+    pub fn rate(&self, terms: &Terms, rung: u8) -> f64 {
+        match &self.rates {
+            Some(rates) => rates[rung as usize] * terms.groups[self.group.0 as usize].scale,
+            None => terms.rate(self.group, rung),
+        }
+    }
+}
+
 /// Streams and load, in kB a second, that a front's own sessions put on one server.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Load {
@@ -50,14 +62,14 @@
 }
 
 impl Hand {
-    /// What the sessions in hand ask of each server, by the ladder.
+    /// What the sessions in hand ask of each server.
     pub fn loads(&self, terms: &Terms) -> BTreeMap<ServerId, Load> {
         let mut sums: BTreeMap<ServerId, Load> = BTreeMap::new();
         for s in self.sess.values() {
             if let Some(at) = s.at {
                 let sum = sums.entry(at).or_default();
                 sum.streams += 1.0;
-                sum.kb += terms.rate(s.group, s.rung);
+                sum.kb += s.rate(terms, s.rung);
             }
         }
         sums
@@ -66,7 +78,7 @@
     /// How much more these sessions ask now than they did at an earlier time.
     pub fn grown_since(&self, terms: &Terms, of: impl Fn(&Sess) -> bool, then: Ms) -> f64 {
         let late = self.sess.values().filter(|s| s.changed > then && of(s));
-        late.map(|s| terms.rate(s.group, s.rung) - s.was_kb).sum()
+        late.map(|s| s.rate(terms, s.rung) - s.was_kb).sum()
     }
 
     /// Sessions of one title and service group, SETUPs still out included.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -73,6 +73,8 @@
     pub group: GroupNo,
     pub title: TitleId,
     pub holders: Holders,
+    /// The title's true rate at each rung, in kB a second, where it is known: else it is taken for the ladder's.
+    pub rates: Option<Arc<[f64]>>,
     pub top: u8,
     /// How long the viewer waits.
     pub left: Ms,
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -412,3 +412,27 @@
     f.share_heard(&mut h, ServerId(0), share, NOW);
     f.rungs.len()
 }
+
+/// Found on crowds for titles that are heavier than the ladder says: by its rates they all fitted.
+#[test_case(None => 2; "by the ladder")]
+#[test_case(Some(vec![200.0, 400.0, 800.0]) => 1; "a heavy title starts lower")]
+#[test_case(Some(vec![50.0, 100.0, 150.0]) => 2; "a light one at the top")]
+#[test_case(Some(vec![800.0]) => 2; "rates that do not fit the ladder tell nothing")]
+fn true_rates_count_where_they_are_known(rates: Option<Vec<f64>>) -> u8 {
+    let mut f = front(terms());
+    f.fleet.servers.values_mut().for_each(|s| s.link = Some(Seen { value: 0.48, at: NOW, own: 0.0 }));
+    let request = walnutline::interface::Request {
+        group: GroupNo(0),
+        title: TitleId(9),
+        holders: cells(0, 4),
+        rates: rates.map(Into::into),
+        top: 2,
+        left: 3_000.0,
+    };
+    let mut h = Hand::default();
+    f.taken(&mut h, ONE, request, NOW);
+    let Place::Setup { server, rung, .. } = f.place(&mut h, ONE, NOW) else { panic!("no SETUP") };
+    let asked = h.loads(&f.terms)[&server].kb;
+    assert_eq!(asked, h.sess[&ONE].rate(&f.terms, rung));
+    rung
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -68,6 +68,7 @@
         group: GroupNo(0),
         title: TitleId(9),
         holders: cells(0, 4),
+        rates: None,
         top: 2,
         came: NOW,
         until: NOW + 3_000.0,
