--- a/crates/catalogue/src/follow.rs
+++ b/crates/catalogue/src/follow.rs
@@ -3,12 +3,23 @@
 use crate::change::{Fault, Numbered};
 use walnutline::ids::Ms;
 
-/// Changes that make one version at most, and how long the first of them waits for more.
-pub const BATCH: usize = 2_000;
+/// Changes that make one version at most, and how long the first of them waits for more. A version of so many is made
+/// in less than a millisecond beside 2 000 000 titles.
+pub const BATCH: usize = 64;
 pub const GATHER: Ms = 20.0;
 /// Gaps in a row at one place after which the stream is not trusted to fill them.
 const GAPS: u32 = 2;
 
+/// How long to rest after a piece of work beside requests. A thread that wakes to answer a viewer may find its processor
+/// taken, and waits there until the piece or the scheduler's turn ends: short pieces with rests between them bound that,
+/// where priorities alone did not (docs/design/catalogue.md). The same time again halves the chance of it, too.
+pub fn rest_after(worked: Ms) -> Ms {
+    worked.min(LONGEST_REST)
+}
+
+/// Rests are bounded, so that a machine that stalls does not stretch a load without end.
+const LONGEST_REST: Ms = 20.0;
+
 /// What to ask the publisher for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Next {
--- a/crates/catalogue/src/prefix.rs
+++ b/crates/catalogue/src/prefix.rs
@@ -98,26 +98,41 @@
         name_of: impl NameOf<'a>,
     ) -> Vec<u32> {
         let mut found = Vec::new();
-        let mut node = &self.root;
+        let (mut node, mut depth) = (&self.root, 0);
         for byte in prefix.bytes() {
             let Node::Inner { next, .. } = &**node else { break };
             let Ok(at) = next.binary_search_by_key(&byte, |n| n.0) else { return found };
-            node = &next[at].1;
+            (node, depth) = (&next[at].1, depth + 1);
         }
-        let wanted = |p: u32| name_of(p).starts_with(prefix) && after.is_none_or(|a| name_of(p) > a);
-        // Nodes still to be looked through, the next one last: names may be long, so no call calls itself.
-        let mut ahead = vec![node];
-        while let Some(node) = ahead.pop() {
+        // Names up to `after` are left out; where that begins otherwise than `prefix`, all are, or none.
+        let after = match after {
+            Some(a) if a.starts_with(prefix) => Some(a),
+            Some(a) if a > prefix => return found,
+            _ => None,
+        };
+        // Nodes still to be looked through, the next one last, each with its depth and whether the way to it is the
+        // beginning of `after`. Names may be long, so no call calls itself.
+        let mut ahead = vec![(node, depth, after.is_some())];
+        while let Some((node, depth, on_way)) = ahead.pop() {
             if found.len() >= most {
                 break;
             }
+            let after = after.filter(|_| on_way);
             match &**node {
                 Node::Bucket(b) => {
-                    found.extend(b.iter().copied().filter(|p| wanted(*p)).take(most - found.len()));
+                    let from = match after {
+                        Some(a) => b.partition_point(|p| name_of(*p) <= a),
+                        None => b.partition_point(|p| name_of(*p) < prefix),
+                    };
+                    let same = b[from..].iter().copied().take_while(|p| name_of(*p).starts_with(prefix));
+                    found.extend(same.take(most - found.len()));
                 }
                 Node::Inner { here, next } => {
-                    found.extend(here.filter(|p| wanted(*p)));
-                    ahead.extend(next.iter().rev().map(|n| &n.1));
+                    // A name that ends on the way to `after` comes before it.
+                    found.extend(here.filter(|_| after.is_none()));
+                    let byte = after.and_then(|a| a.as_bytes().get(depth).copied());
+                    let later = next.iter().filter(|n| byte.is_none_or(|b| n.0 >= b));
+                    ahead.extend(later.rev().map(|n| (&n.1, depth + 1, byte == Some(n.0))));
                 }
             }
         }
--- a/crates/catalogue/src/snapshot.rs
+++ b/crates/catalogue/src/snapshot.rs
@@ -16,7 +16,8 @@
 const MAGIC: &[u8; 8] = b"WNLNCAT1";
 pub const HEADER: usize = 36;
 /// A block is closed when it has grown to so many bytes; one that claims more than the second is refused.
-const BLOCK: usize = 64 << 10;
+/// A reader works at one for some tenths of a millisecond: who reads beside other work can rest in between.
+const BLOCK: usize = 4 << 10;
 const LARGEST: usize = 1 << 20;
 const BOX: usize = 9;
 const MOST_BOXES: u32 = 1 << 20;
@@ -56,7 +57,8 @@
         places.push(u8::from(b.gone) | u8::from(b.rack.is_some()) << 1);
         places.extend(b.rack.map_or(0, |r| r.0).to_le_bytes());
     }
-    let mut titles = v.titles().peekable();
+    // In the order of names: who puts them together again then finds the place of each beside the one before.
+    let mut titles = v.beginning_with("", None, v.len()).into_iter().peekable();
     let mut ended = false;
     let blocks = std::iter::from_fn(move || {
         if std::mem::replace(&mut ended, titles.peek().is_none()) {
--- a/crates/catalogue/src/version.rs
+++ b/crates/catalogue/src/version.rs
@@ -216,6 +216,11 @@
             self.set(position, Some(title));
             return Ok(());
         }
+        self.append(title)
+    }
+
+    /// Puts a title that is not in it yet.
+    fn append(&mut self, title: Packed) -> Result<(), String> {
         let hash = hash(title.name());
         let position = u32::try_from(self.titles.push(None)).map_err(|_| "no more positions")?;
         self.set(position, Some(title));
@@ -335,7 +340,7 @@
         }
         let known = self.beside.as_ref().and_then(|old| old.title(title.name()));
         let same = known.filter(|old| **old == title).cloned();
-        self.v.put(same.unwrap_or(title))
+        self.v.append(same.unwrap_or(title))
     }
 
     pub fn finish(self) -> Version {
--- a/crates/cli/src/bench.rs
+++ b/crates/cli/src/bench.rs
@@ -1,5 +1,6 @@
 //! `walnutline bench path`: the time from request to answer through a front, beside the same boxes asked straight,
 //! in one run; and where the time goes.
+use crate::bench_catalogue;
 use hdrhistogram::Histogram;
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
@@ -12,9 +13,9 @@
 use walnutline_dash::{mpd, proof, to_base64, token, token_hash, SigningKey};
 use walnutline_gate::claims::{Claims, Proof, SessionClaims};
 use walnutline_rehearsal::boxes::{self, Common};
+use walnutline_rehearsal::deployment::{self, Folder};
 use walnutline_rehearsal::depot::Depot;
 use walnutline_rehearsal::list::Listing;
-use walnutline_rehearsal::play::{self, Folder};
 use walnutline_rehearsal::record::Recorder;
 
 #[derive(clap::Subcommand)]
@@ -34,6 +35,8 @@
         #[arg(long, default_value_t = 1)]
         workers: u32,
     },
+    /// The catalogue's structures beside plain ones, and answers while a load is under way.
+    Catalogue(bench_catalogue::Args),
 }
 
 const BOXES: u32 = 12;
@@ -41,8 +44,14 @@
 const SESSIONS_LAST: f64 = 50.0;
 
 pub fn run(command: Command) -> Result<(), String> {
-    let Command::Path { rate, seconds, connections, workers } = command;
-    let bench = Bench::start(workers)?;
+    match command {
+        Command::Path { rate, seconds, connections, workers } => path(rate, seconds, connections, workers),
+        Command::Catalogue(args) => bench_catalogue::run(args),
+    }
+}
+
+fn path(rate: u32, seconds: u32, connections: u32, workers: u32) -> Result<(), String> {
+    let bench = Bench::with(workers, "")?;
     println!(
         "{BOXES} stand-in boxes that answer at once, 1 front with {workers} worker, {rate} requests a second"
     );
@@ -73,7 +82,7 @@
     parts()
 }
 
-struct Bench {
+pub struct Bench {
     front: Child,
     address: SocketAddr,
     boxes: Vec<boxes::Process>,
@@ -94,20 +103,21 @@
 }
 
 impl Bench {
-    fn start(workers: u32) -> Result<Self, String> {
+    /// A front with a depot that answers at once; `more` is added to its document.
+    pub fn with(workers: u32, more: &str) -> Result<Self, String> {
         may::config().set_workers(2).set_stack_size(0x8000);
         let folder = Folder::new()?;
         let script = walnutline_rehearsal::script::parse("bench", "boxes 12 in 3 racks\nfronts 1")?;
         let seen = Arc::new(Recorder::create(&folder.0.join("records.jsonl"))?);
-        let mut kind = play::kind(&script);
+        let mut kind = deployment::kind(&script);
         (kind.streams, kind.link_kb, kind.uplink_kb) = (1_000_000, 1e10, 1e11);
         let (issuer, key) = (SigningKey::from_bytes(&[1; 32]), SigningKey::from_bytes(&[2; 32]));
         folder.write("k1.pub", &to_base64(issuer.verifying_key().as_bytes()))?;
         folder.write("f0.secret", &to_base64(key.as_bytes()))?;
         let (listing, list) = Listing::start(seen.clone(), 0.0).map_err(|e| format!("list: {e}"))?;
         // The terms' limits stay; only what a depot carries is out of the way.
-        let document = play::document(&script, &kind, &play::terms(), list, 0);
-        folder.write("f0.kdl", &document.replace("free=5 share=0.2", "free=100000 share=1"))?;
+        let document = deployment::document(&script, &kind, &deployment::terms(), list, 0);
+        folder.write("f0.kdl", &(document.replace("free=5 share=0.2", "free=100000 share=1") + more))?;
         let depot = Arc::new(Depot::new(BOXES, 3, kind, seen));
         let keys = BTreeMap::from([(b"f0".to_vec(), (0, key.verifying_key()))]);
         let mut common = Common::new(depot, keys, BTreeMap::new(), 0.01, 500.0);
@@ -164,7 +174,7 @@
     }
 
     /// The front's processor time so far, in seconds.
-    fn front_cpu(&self) -> Result<f64, String> {
+    pub fn front_cpu(&self) -> Result<f64, String> {
         let path = format!("/proc/{}/stat", self.front.id());
         let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
         let fields: Vec<&str> = text.rsplit(')').next().unwrap_or("").split_whitespace().collect();
@@ -174,7 +184,12 @@
         Ok((user + system) / 100.0)
     }
 
-    fn through(&self, rate: u32, seconds: u32, connections: u32) -> Result<Histogram<u64>, String> {
+    /// The front's process.
+    pub fn pid(&self) -> u32 {
+        self.front.id()
+    }
+
+    pub fn through(&self, rate: u32, seconds: u32, connections: u32) -> Result<Histogram<u64>, String> {
         let viewer = SigningKey::from_bytes(&[3; 32]);
         let claims = Claims {
             id: vec![1],
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The `walnutline` command.
 mod bench;
+mod bench_catalogue;
 mod catalogue;
 mod front;
 mod token;
--- a/crates/front/src/catalogue.rs
+++ b/crates/front/src/catalogue.rs
@@ -13,7 +13,7 @@
 use walnutline_catalogue::differ::Sort;
 use walnutline_catalogue::follow::{Follow, Next};
 use walnutline_catalogue::version::Version;
-use walnutline_catalogue::{keep, snapshot, wire};
+use walnutline_catalogue::{follow, keep, snapshot, wire};
 use walnutline_catalogue_store::{write_snapshot, Fault, Part, Store};
 use walnutline_control::events::{Event, Reader};
 use walnutline_desk::live::Waits;
@@ -24,6 +24,8 @@
 const HEADER: usize = 16 * 1024;
 /// Bytes read at once.
 const READ: usize = 256 * 1024;
+/// Bytes of a snapshot that are worked at in one piece.
+const PIECE: usize = 4 * 1024;
 /// How often what is due beside the stream is looked after.
 const BEAT: Duration = Duration::from_millis(200);
 /// While changes are gathered, reads wait no longer than this.
@@ -47,9 +49,12 @@
         (!v.is_empty()).then_some(v)
     }
 
-    /// Hands counts over to be written where `walnutline catalogue diff` finds them.
-    pub fn differ(&self, counts: Counts) {
-        *self.differences.lock().unwrap_or_else(|e| e.into_inner()) = Some(counts);
+    /// Hands counts over to be written where `walnutline catalogue diff` finds them; `false` where they cannot be
+    /// taken now. Never waits: who writes them stands back and may hold the lock for long.
+    pub fn differ(&self, counts: impl FnOnce() -> Counts) -> bool {
+        let Ok(mut waiting) = self.differences.try_lock() else { return false };
+        *waiting = Some(counts());
+        true
     }
 }
 
@@ -98,7 +103,10 @@
         snapshot: None,
     };
     drop(have);
-    std::thread::Builder::new().name("catalogue".into()).spawn(move || keeper.run(seed))?;
+    std::thread::Builder::new().name("catalogue".into()).spawn(move || {
+        stand_back();
+        keeper.run(seed)
+    })?;
     Ok(known)
 }
 
@@ -156,7 +164,10 @@
         if self.store.is_some() && self.snapshot.is_none() && keep::snapshot_due(self.since, v.len()) {
             self.since = 0;
             let folder = self.known.terms.folder.clone();
-            let write = move || write_snapshot(&folder, &v, &mut |_, _| {});
+            let write = move || {
+                stand_back();
+                write_snapshot(&folder, &v, &mut |_, _| {})
+            };
             self.snapshot = std::thread::Builder::new().name("snapshot".into()).spawn(write).ok();
         }
     }
@@ -179,7 +190,11 @@
                     continue;
                 }
             };
-            reader.push(piece).map_err(other)?;
+            for block in piece.chunks(PIECE) {
+                let began = Instant::now();
+                reader.push(block).map_err(other)?;
+                rest(began);
+            }
             if let Some(part) = &mut part {
                 part.write(piece).map_err(other)?;
             }
@@ -208,13 +223,16 @@
             body.wait_at_most(if self.follow.due().is_some() { GATHERING } else { BEAT })?;
             match body.read() {
                 Ok(Got::Bytes(n)) => {
-                    let heard = events.push(&body.bytes[..n]).map_err(other)?;
-                    for event in heard {
-                        if event.name == "too-old" {
-                            self.follow.too_old();
-                            return Ok(());
+                    for piece in body.bytes[..n].chunks(PIECE) {
+                        let began = Instant::now();
+                        for event in events.push(piece).map_err(other)? {
+                            if event.name == "too-old" {
+                                self.follow.too_old();
+                                return Ok(());
+                            }
+                            self.heard(event)?;
                         }
-                        self.heard(event)?;
+                        rest(began);
                     }
                     // A stream that breaks at its first change has not worked.
                     if self.follow.due().is_none() {
@@ -268,6 +286,7 @@
         if batch.is_empty() {
             return Ok(());
         }
+        let began = Instant::now();
         let next = match self.writer.current().load().with(&batch) {
             Ok(next) => next,
             Err(fault) => {
@@ -286,10 +305,27 @@
         self.since += batch.len() as u64;
         self.follow.in_force(next.number());
         self.writer.publish(next);
+        rest(began);
         Ok(())
     }
 }
 
+/// Leaves the processor to others after a piece of work.
+fn rest(began: Instant) {
+    let worked = began.elapsed().as_secs_f64() * 1_000.0;
+    std::thread::sleep(Duration::from_secs_f64(follow::rest_after(worked) / 1_000.0));
+}
+
+/// Puts this thread behind all that answer viewers: it runs where a processor has nothing else to do.
+fn stand_back() {
+    let param = libc::sched_param { sched_priority: 0 };
+    // Sound: a call that reads `param` and concerns this thread alone.
+    let done = unsafe { libc::sched_setscheduler(0, libc::SCHED_IDLE, &param) };
+    if done != 0 {
+        tracing::debug!("catalogue: the thread does not stand back: {}", io::Error::last_os_error());
+    }
+}
+
 fn other(e: impl std::fmt::Display) -> io::Error {
     io::Error::other(e.to_string())
 }
--- a/crates/front/src/hub.rs
+++ b/crates/front/src/hub.rs
@@ -251,8 +251,8 @@
     fn ask_news(&mut self, now: f64) {
         let (Some(advisor), Some(known)) = (&mut self.advisor, &self.shared.catalogue) else { return };
         if self.differed.1 && now - self.differed.0 > DIFFER {
-            self.differed = (now, false);
-            known.differ(advisor.differences().counts().collect());
+            let taken = known.differ(|| advisor.differences().counts().collect());
+            self.differed = (now, !taken);
         }
         if advisor.may_ask(now) {
             if let Some(v) = known.load() {
--- a/crates/rehearsal/src/alone.rs
+++ b/crates/rehearsal/src/alone.rs
@@ -1,8 +1,8 @@
 //! The stand-ins one by one, for a rehearsal put together by hand: a box, a list, viewers.
 use crate::boxes::{Common, Process};
+use crate::deployment;
 use crate::depot::Depot;
 use crate::list::Listing;
-use crate::play;
 use crate::record::Recorder;
 use crate::script;
 use crate::viewers::{Title, Viewers};
@@ -85,7 +85,8 @@
         keys.insert(id.as_bytes().to_vec(), (n as u32, key));
     }
     let day = script::parse("box", &format!("boxes {} in 1 racks", args.id + 1))?;
-    let depot = Depot::new(args.id + 1, 1, play::kind(&day), Arc::new(Recorder::create(&args.records)?));
+    let depot =
+        Depot::new(args.id + 1, 1, deployment::kind(&day), Arc::new(Recorder::create(&args.records)?));
     let common = Common::new(Arc::new(depot), keys, BTreeMap::new(), 0.02, 500.0);
     let common = Arc::new(common);
     let p = Process::start(&common, args.id, args.cold).map_err(|e| format!("box {}: {e}", args.id))?;
@@ -160,14 +161,14 @@
         let holders = holders.map_err(|e| format!("{given:?}: {e}"))?;
         titles.push(Title { name: name.into(), holders });
     }
-    let groups = play::terms().groups.into_iter().zip([0.35, 0.65]).collect();
+    let groups = deployment::terms().groups.into_iter().zip([0.35, 0.65]).collect();
     let issuer = SigningKey::from_bytes(&key(&args.issuer)?);
     let key_id = args.key_id.into_bytes();
     let viewers = Viewers::new(seen.clone(), groups, titles, issuer, key_id, (2_000.0, 6_000.0), 500.0);
     let viewers = Arc::new(viewers);
     let up = args.fronts.iter().enumerate().map(|(n, a)| (n as u32, *a, 1.0)).collect();
     viewers.fronts.lock().unwrap_or_else(|e| e.into_inner()).up = up;
-    seen.saw(crate::record::Seen::Terms(play::terms()));
+    seen.saw(crate::record::Seen::Terms(deployment::terms()));
     let v = viewers.clone();
     crate::net::spawn(move || v.arrive(args.rate, args.seed));
     std::thread::sleep(Duration::from_secs_f64(args.seconds));
--- /dev/null
+++ b/crates/rehearsal/src/catalogue.rs
@@ -0,0 +1,92 @@
+//! A catalogue of a rehearsal's titles, and what it brings: the same day with each use of it.
+use crate::depot::Kind;
+use crate::play::play;
+use crate::publisher::Publisher;
+use crate::script::Script;
+use crate::viewers::Title;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use walnutline::ids::{RackNo, ServerId};
+use walnutline_catalogue::change;
+use walnutline_catalogue::packed::Packed;
+use walnutline_catalogue::version::{BoxOf, Builder};
+
+/// What fronts make of a catalogue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
+pub enum Use {
+    None,
+    /// Titles' true rates alone.
+    Rates,
+    /// News of holders asked for ahead alone.
+    News,
+    All,
+}
+
+impl Use {
+    /// Publishes the titles, where any use is made of them; returns where.
+    pub fn start(
+        self,
+        script: &Script,
+        kind: &Kind,
+        titles: &[Title],
+        factors: &BTreeMap<String, f64>,
+    ) -> Result<Option<SocketAddr>, String> {
+        if self == Use::None {
+            return Ok(None);
+        }
+        let groups = crate::deployment::terms().groups.into_iter().map(|g| g.name).collect();
+        let mut b = Builder::new(1, groups, None)?;
+        for n in 0..script.boxes {
+            b.tell(BoxOf { server: ServerId(n), gone: false, rack: Some(RackNo(n % script.racks)) });
+        }
+        for t in titles {
+            let mut holders: Vec<ServerId> = t.holders.iter().copied().map(ServerId).collect();
+            holders.sort_unstable();
+            let factor = factors.get(&t.name).copied().unwrap_or(1.0);
+            let rates = kind.rung_kb.iter().map(|kb| (kb * factor) as f32).collect();
+            let title = change::Title { name: t.name.clone(), rates, groups: 3, length: 60_000, holders };
+            b.title(Packed::new(&title)?)?;
+        }
+        let (_, address) = Publisher::start(b.finish()).map_err(|e| format!("the publisher: {e}"))?;
+        Ok(Some(address))
+    }
+
+    /// The line of a front's document.
+    pub fn node(self, source: SocketAddr, front: u32) -> String {
+        let each = if matches!(self, Use::News | Use::All) { 0.3 } else { 0.0 };
+        let rates = matches!(self, Use::Rates | Use::All);
+        format!(
+            "catalogue folder=\"catalogue-{front}\" source=\"http://{source}/c\" probes-each={each} \
+             probes-saved=10 news-old=1500 rates={rates}\n"
+        )
+    }
+}
+
+/// Plays a day on several seeds with each use of a catalogue, in turn, and tells the service of each.
+pub fn compare(script: &Script, seeds: u64) -> Result<(), String> {
+    const USES: [Use; 4] = [Use::None, Use::Rates, Use::News, Use::All];
+    let mut service: Vec<Vec<f64>> = vec![Vec::new(); USES.len()];
+    let mut breaks = 0;
+    println!("seed        service, SETUPs, delivered share of each use of a catalogue");
+    for seed in script.seed..script.seed + seeds {
+        for (n, with) in USES.into_iter().enumerate() {
+            let v = play(Script { seed, ..script.clone() }, None, false, with)?;
+            println!(
+                "{seed:4}  {with:?}  {:.3}  {}  {:.3}  median to play {:.1} ms, p99 {:.1} ms",
+                v.service, v.setups, v.delivered, v.to_play.0, v.to_play.1
+            );
+            v.breaks.iter().for_each(|b| println!("rule {} broken: {}", b.rule, b.what));
+            breaks += v.breaks.len();
+            service[n].push(v.service);
+        }
+    }
+    for (with, of) in USES.into_iter().zip(&mut service) {
+        of.sort_by(f64::total_cmp);
+        let (least, most) = (of[0], of[of.len() - 1]);
+        println!("{with:?}: service median {:.3}, {least:.3} to {most:.3}", of[of.len() / 2]);
+    }
+    match breaks {
+        0 => Ok(()),
+        n => Err(format!("{n} breaks of rules")),
+    }
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -2,12 +2,15 @@
 //! codecs, never the front or its decisions: what it judges by is what it saw on its own sockets.
 //!
 //! - [`script`]: the language of bad days. [`play`]: a day played on a depot with real fronts.
+//! - [`deployment`]: terms and documents of what is played. [`catalogue`]: one of its titles, and what it brings.
 //! - [`depot`]: what boxes are and carry. [`boxes`], [`list`], [`viewers`]: their sockets.
 //! - [`publisher`]: the stand-in of a catalogue's publisher. [`alone`]: the stand-ins one by one.
 //! - [`record`]: what was seen. [`audit`]: the rules and the service, judged from that alone.
 pub mod alone;
 pub mod audit;
 pub mod boxes;
+pub mod catalogue;
+pub mod deployment;
 pub mod depot;
 pub mod list;
 pub mod net;
