--- a/crates/catalogue-store/src/lib.rs
+++ b/crates/catalogue-store/src/lib.rs
@@ -16,6 +16,8 @@
 const CHANGES: TableDefinition<u64, &str> = TableDefinition::new("changes");
 /// Memory that the database may keep of its file.
 const CACHE: usize = 16 << 20;
+/// Bytes of a snapshot read and worked at before progress is told: who reads beside other work rests then.
+const PIECE: usize = 4 << 10;
 /// Changes put together to one version when the store is opened.
 const REPLAY: usize = 10_000;
 
@@ -57,7 +59,7 @@
     progress: Progress,
 ) -> Result<Version, Fault> {
     let mut file = File::open(path).map_err(of(path))?;
-    let (mut reader, mut bytes) = (snapshot::Reader::new(beside), vec![0; 256 << 10]);
+    let (mut reader, mut bytes) = (snapshot::Reader::new(beside), vec![0; PIECE]);
     loop {
         match file.read(&mut bytes).map_err(of(path))? {
             0 => return reader.finish().map_err(of(path)),
--- a/crates/catalogue-store/tests/crashes.rs
+++ b/crates/catalogue-store/tests/crashes.rs
@@ -1,5 +1,6 @@
 //! A store through crashes: killed at any moment, cut short, flipped. What comes back is a whole version, never older
 //! than what was told to be kept.
+use proptest::prelude::*;
 use std::fs;
 use std::io::{BufRead, BufReader};
 use std::path::Path;
@@ -212,3 +213,71 @@
     let not_a_folder = folder.path().join("snapshot-0.wcat");
     assert!(Store::open(&not_a_folder, &mut |_, _| {}).is_err());
 }
+
+#[derive(Debug, Clone)]
+enum Step {
+    /// So many changes in one batch.
+    Append(u64),
+    /// A snapshot, and what may go is removed.
+    Snapshot,
+    /// A snapshot that a crash cut short.
+    CutShort,
+    /// The process is gone and comes back.
+    Reopen,
+    /// Another whole catalogue, as of this change.
+    Replace(u64),
+    Compact,
+}
+
+fn steps() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (1u64..120).prop_map(Step::Append),
+        2 => Just(Step::Snapshot),
+        1 => Just(Step::CutShort),
+        3 => Just(Step::Reopen),
+        1 => (0u64..600).prop_map(Step::Replace),
+        1 => Just(Step::Compact),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(48))]
+
+    /// Any order of changes, crashes and loads: what comes back is the plain catalogue of the last change kept.
+    #[test]
+    fn any_order_gives_the_plain_catalogue(steps in prop::collection::vec(steps(), 1..25)) {
+        let folder = tempfile::tempdir().unwrap();
+        begin(folder.path());
+        let (mut store, mut v) = open(folder.path());
+        for step in steps {
+            match step {
+                Step::Append(n) => {
+                    let batch: Vec<Numbered> = (1..=n).map(|k| change(v.number() + k)).collect();
+                    v = v.with(&batch).unwrap();
+                    store.append(&batch).unwrap();
+                }
+                Step::Snapshot => {
+                    write_snapshot(folder.path(), &v, &mut |_, _| {}).unwrap();
+                    store.prune().unwrap();
+                }
+                Step::CutShort => fs::write(folder.path().join("snapshot.part"), b"WNLNCAT1").unwrap(),
+                Step::Replace(number) => {
+                    v = at(number);
+                    write_snapshot(folder.path(), &v, &mut |_, _| {}).unwrap();
+                    store.replaced_by(number).unwrap();
+                }
+                Step::Compact => drop(store.compact().unwrap()),
+                Step::Reopen => {
+                    drop(store);
+                    let (again, held) = open(folder.path());
+                    same(&held, &v);
+                    store = again;
+                }
+            }
+        }
+        drop(store);
+        let (_store, held) = open(folder.path());
+        same(&held, &v);
+        same(&held, &at(v.number()));
+    }
+}
--- a/crates/front/src/catalogue.rs
+++ b/crates/front/src/catalogue.rs
@@ -71,46 +71,56 @@
     snapshot: Option<JoinHandle<Result<PathBuf, Fault>>>,
 }
 
-/// Reads the store and starts to follow. A store that cannot be read is told of, and the front starts without it.
+/// Starts to read the store and then to follow. The front serves meanwhile, without a catalogue until it is read; a store
+/// that cannot be read is told of, and the front goes on without it.
 pub fn start(terms: CatalogueTerms, clock: Clock, waits: Waits, seed: u64) -> io::Result<Arc<Known>> {
-    let (mut writer, mut store, mut since) = (Writer::default(), None, 0);
-    match Store::open(&terms.folder, &mut |_, _| {}) {
-        Ok((opened, held)) => {
-            held.faults.iter().for_each(|f| tracing::error!(target: "walnutline::mode", "catalogue: {f}"));
-            if let Some(v) = held.version {
-                tracing::info!(target: "walnutline::mode", number = v.number(), titles = v.len(), "catalogue read");
-                writer.publish(v);
-            } else {
-                tracing::info!(target: "walnutline::mode", "starts without a catalogue: none is stored");
-            }
-            (store, since) = (Some(opened), held.since);
-        }
-        Err(fault) => {
-            tracing::error!(target: "walnutline::mode", "starts without a catalogue and keeps none: {fault}");
-        }
-    }
-    let current = writer.current();
-    let have = current.load();
-    let known = Arc::new(Known { current, terms, differences: Mutex::default() });
+    let writer = Writer::default();
+    let known = Arc::new(Known { current: writer.current(), terms, differences: Mutex::default() });
     let mut keeper = Keeper {
         known: known.clone(),
         clock,
         waits,
         writer,
-        store,
-        follow: Follow::from((!have.is_empty()).then(|| have.number())),
-        since,
+        store: None,
+        follow: Follow::default(),
+        since: 0,
         snapshot: None,
     };
-    drop(have);
     std::thread::Builder::new().name("catalogue".into()).spawn(move || {
         stand_back();
+        keeper.read();
         keeper.run(seed)
     })?;
     Ok(known)
 }
 
 impl Keeper {
+    /// Takes up what was stored.
+    fn read(&mut self) {
+        let mut began = Instant::now();
+        let opened = Store::open(&self.known.terms.folder, &mut |_, _| {
+            rest(began);
+            began = Instant::now();
+        });
+        let (store, held) = match opened {
+            Ok(opened) => opened,
+            Err(fault) => {
+                tracing::error!(target: "walnutline::mode", "starts without a catalogue and keeps none: {fault}");
+                return;
+            }
+        };
+        held.faults.iter().for_each(|f| tracing::error!(target: "walnutline::mode", "catalogue: {f}"));
+        match held.version {
+            Some(v) => {
+                tracing::info!(target: "walnutline::mode", number = v.number(), titles = v.len(), "catalogue read");
+                self.follow = Follow::from((!v.is_empty()).then(|| v.number()));
+                self.writer.publish(v);
+            }
+            None => tracing::info!(target: "walnutline::mode", "starts without a catalogue: none is stored"),
+        }
+        (self.store, self.since) = (Some(store), held.since);
+    }
+
     fn run(&mut self, seed: u64) {
         let Some((at, path)) = self.known.terms.source.clone() else {
             loop {
@@ -206,6 +216,10 @@
         }
         let v = reader.finish().map_err(other)?;
         let (number, titles) = (v.number(), v.len());
+        // A snapshot of the old catalogue that came to its end later would stand beside the new one.
+        if let Some(snapshot) = self.snapshot.take() {
+            let _ = snapshot.join();
+        }
         if let (Some(part), Some(store)) = (part, &self.store) {
             part.finish(number).and_then(|_| store.replaced_by(number)).map_err(other)?;
         }
