--- a/crates/catalogue/src/names.rs
+++ b/crates/catalogue/src/names.rs
@@ -2,7 +2,7 @@
 //! page has the hashes that begin alike, ascending. Names are not kept here a second time: who asks compares the name
 //! of each position that is offered.
 //!
-//! Growth: 16 bytes a title. A look-up is a binary search in one page of some hundred entries; a change copies
+//! Growth: 16 bytes a title. A look-up begins in one page of some hundred entries where its hash should be; a change copies
 //! one page. Pages are split in two all at once when they have grown past [`FULL`] on average.
 use std::sync::Arc;
 
@@ -52,10 +52,24 @@
     /// Positions of the titles whose names hash so: nearly always one or none.
     pub fn find(&self, hash: u64) -> impl Iterator<Item = u32> + '_ {
         let page = &self.pages[self.page(hash)];
-        let from = page.partition_point(|e| e.0 < hash);
+        let from = self.lower_bound(page, hash);
         page[from..].iter().take_while(move |e| e.0 == hash).map(|e| e.1)
     }
 
+    /// Position of the first entry of a page that is not below a hash. Hashes are spread evenly, so it is looked for
+    /// from where it should be: some cache lines are read where halving would read one for each step.
+    fn lower_bound(&self, page: &[(u64, u32)], hash: u64) -> usize {
+        let within = hash.checked_shl(self.bits).unwrap_or(0);
+        let mut at = ((u128::from(within) * page.len() as u128) >> 64) as usize;
+        while at > 0 && page[at - 1].0 >= hash {
+            at -= 1;
+        }
+        while page.get(at).is_some_and(|e| e.0 < hash) {
+            at += 1;
+        }
+        at
+    }
+
     pub fn insert(&mut self, hash: u64, position: u32) {
         if self.len >= FULL << self.bits && self.bits < 24 {
             self.split();
