--- /dev/null
+++ b/crates/wheel/benches/timers.rs
@@ -0,0 +1,163 @@
+//! The wheel beside a binary heap, an ordered map and a wheel of the registry: `cargo bench -p walnutline-wheel`.
+//!
+//! The pattern of idle time-outs: all timers run; each operation takes one of them back and starts it anew, as a request on
+//! an idle connection does; then all come due. Times in ns an operation.
+use hierarchical_hash_wheel_timer::wheels::cancellable::{CancellableTimerEntry, QuadWheelWithOverflow};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use walnutline_wheel::{Key, Urgency, Wheel};
+
+/// Longest time of a timer, in ms, and how often one is started anew.
+const LONGEST: u32 = 60_000;
+const AGAIN: usize = 1_000_000;
+
+/// What each structure does.
+trait Timers {
+    type Key: Clone;
+    fn start(&mut self, due: u32, n: u32) -> Self::Key;
+    fn cancel(&mut self, key: Self::Key);
+    /// How many come due by then.
+    fn due(&mut self, now: u32) -> usize;
+}
+
+struct Own(Wheel<u32>);
+
+impl Timers for Own {
+    type Key = Key;
+    fn start(&mut self, due: u32, n: u32) -> Key {
+        self.0.start(f64::from(due), 0.0, Urgency::Last, n)
+    }
+    fn cancel(&mut self, key: Key) {
+        self.0.cancel(key);
+    }
+    fn due(&mut self, now: u32) -> usize {
+        let mut out = Vec::new();
+        self.0.advance(f64::from(now), &mut out);
+        out.len()
+    }
+}
+
+/// As a heap is used where entries cannot be taken out: what is settled comes up at its time and is passed over.
+#[derive(Default)]
+struct Heap {
+    heap: BinaryHeap<Reverse<(u32, u32, u32)>>,
+    live: Vec<u32>,
+}
+
+impl Timers for Heap {
+    type Key = u32;
+    fn start(&mut self, due: u32, n: u32) -> u32 {
+        if self.live.len() <= n as usize {
+            self.live.resize(n as usize + 1, 0);
+        }
+        self.live[n as usize] += 1;
+        self.heap.push(Reverse((due, n, self.live[n as usize])));
+        n
+    }
+    fn cancel(&mut self, key: u32) {
+        self.live[key as usize] += 1;
+    }
+    fn due(&mut self, now: u32) -> usize {
+        let mut count = 0;
+        while let Some(Reverse((due, n, turn))) = self.heap.peek().copied() {
+            if due > now {
+                break;
+            }
+            self.heap.pop();
+            count += usize::from(self.live[n as usize] == turn);
+        }
+        count
+    }
+}
+
+#[derive(Default)]
+struct Ordered(BTreeMap<(u32, u32), ()>);
+
+impl Timers for Ordered {
+    type Key = (u32, u32);
+    fn start(&mut self, due: u32, n: u32) -> (u32, u32) {
+        self.0.insert((due, n), ());
+        (due, n)
+    }
+    fn cancel(&mut self, key: (u32, u32)) {
+        self.0.remove(&key);
+    }
+    fn due(&mut self, now: u32) -> usize {
+        let later = self.0.split_off(&(now + 1, 0));
+        std::mem::replace(&mut self.0, later).len()
+    }
+}
+
+#[derive(Debug)]
+struct Entry(u32);
+
+impl CancellableTimerEntry for Entry {
+    type Id = u32;
+    fn id(&self) -> &u32 {
+        &self.0
+    }
+}
+
+struct Registry {
+    wheel: QuadWheelWithOverflow<Entry>,
+    now: u32,
+}
+
+impl Timers for Registry {
+    type Key = u32;
+    fn start(&mut self, due: u32, n: u32) -> u32 {
+        let after = Duration::from_millis(u64::from(due - self.now));
+        let _ = self.wheel.insert_ref_with_delay(Rc::new(Entry(n)), after);
+        n
+    }
+    fn cancel(&mut self, key: u32) {
+        let _ = self.wheel.cancel(&key);
+    }
+    fn due(&mut self, now: u32) -> usize {
+        let mut count = 0;
+        while self.now < now {
+            count += self.wheel.tick().len();
+            self.now += 1;
+        }
+        count
+    }
+}
+
+fn measure<T: Timers>(name: &str, n: u32, mut timers: T) {
+    let mut seed = 0x2545_f491_4f6c_dd1du64;
+    let mut draw = move || {
+        seed ^= seed << 13;
+        seed ^= seed >> 7;
+        seed ^= seed << 17;
+        seed
+    };
+    let per = |began: Instant, n: usize| began.elapsed().as_secs_f64() * 1e9 / n as f64;
+    let began = Instant::now();
+    let mut keys: Vec<T::Key> =
+        (0..n).map(|k| timers.start(1 + (draw() % u64::from(LONGEST)) as u32, k)).collect();
+    let start = per(began, n as usize);
+    let began = Instant::now();
+    for _ in 0..AGAIN {
+        let k = (draw() % u64::from(n)) as usize;
+        timers.cancel(keys[k].clone());
+        keys[k] = timers.start(1 + (draw() % u64::from(LONGEST)) as u32, k as u32);
+    }
+    let again = per(began, AGAIN);
+    let began = Instant::now();
+    let fired: usize = (0..=LONGEST / 10).map(|t| timers.due(t * 10)).sum();
+    let due = per(began, n as usize);
+    assert_eq!(fired, n as usize, "{name} lost timers");
+    println!("{n:9} {name:12} {start:7.0} {again:15.0} {due:7.0}");
+}
+
+fn main() {
+    println!("   timers structure      start  cancel + start     due");
+    for n in [1_000, 100_000, 1_000_000] {
+        measure("wheel", n, Own(Wheel::new(1.0, 20.0, 0.0)));
+        measure("BinaryHeap", n, Heap::default());
+        measure("BTreeMap", n, Ordered::default());
+        measure("registry's", n, Registry { wheel: QuadWheelWithOverflow::new(), now: 0 });
+    }
+}
