--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod bench_catalogue;
 mod catalogue;
 mod front;
+mod node;
 mod token;
 
 use clap::{Parser, Subcommand};
@@ -23,6 +24,8 @@
 enum Command {
     /// Run a front until SIGTERM; SIGHUP takes its keys anew from the document.
     Front(front::Args),
+    /// Run a front node on the operators' platform until SIGTERM; NODE_NAME, NODE_LISTEN and NODE_CONFIG tell it all.
+    Node,
     /// Check a settings document and tell every fault with its place.
     Check { file: PathBuf },
     /// Load, look at and check a stored catalogue.
@@ -51,6 +54,7 @@
     log(cli.json_log);
     let done = match cli.command {
         Command::Front(args) => front::run(args),
+        Command::Node => node::run(),
         Command::Check { file } => front::check(&file),
         Command::Catalogue(command) => catalogue::run(command),
         Command::Token(command) => token::run(command),
--- /dev/null
+++ b/crates/node/src/core/care.rs
@@ -0,0 +1,127 @@
+//! What is due with time: overdue, idle and silent peers, and the end of the node.
+use super::servers::Test;
+use super::{Due, Node, Stage};
+use crate::exchange::{ConnId, Do};
+use crate::limits;
+use walnutline::fleet::Listing;
+use walnutline::ids::Ms;
+
+impl Node {
+    /// When [`Node::attend`] is to be called next at the latest.
+    pub fn next_at(&self, now: Ms) -> Ms {
+        let held_back = self.stall.holds_back(now).unwrap_or(Ms::NEG_INFINITY);
+        self.timers.next_at().map_or(self.again_at, |t| t.max(held_back).min(self.again_at))
+    }
+
+    /// Does what is due; to be called after each round of events and whenever [`Node::next_at`] has come.
+    pub fn attend(&mut self, now: Ms) {
+        self.clock = now;
+        if let Some(late) = self.stall.woke(now) {
+            self.dos.push(Do::Log(format!("stalled for={late:.0}")));
+        }
+        if self.stall.holds_back(now).is_none() {
+            while let Some(due) = self.timers.due(now) {
+                self.fire(due, now);
+                self.settle(now);
+            }
+        }
+        self.desk.rang(now);
+        // A session that is placed and held again waits for a probe or a time that only a further call tells.
+        if self.desk.attend(now, &mut self.actions) {
+            self.settle(now);
+            self.desk.attend(now, &mut self.actions);
+        }
+        self.settle(now);
+        self.stall.sleeps_until(self.next_at(now));
+    }
+
+    fn fire(&mut self, due: Due, now: Ms) {
+        match due {
+            Due::Setup { id, no } => self.setup_due(id, no, now),
+            Due::Connecting { conn } => {
+                if self.lines.get(&conn).is_some_and(|l| !l.up) {
+                    self.close_line(conn, now);
+                }
+            }
+            Due::Test { conn, id } => self.test_due(conn, id, now),
+            Due::Reconnect { server } => {
+                if self.servers.get(&server).is_some_and(|s| !s.standing.is_empty()) {
+                    self.keep_up(server, now);
+                }
+            }
+            Due::Poll => self.poll(now),
+            Due::Sweep => {
+                self.sweep_viewers(now);
+                self.sweep_servers(now);
+                self.forget();
+                self.owed.retain(|o| now - o.since < limits::RELEASE_KEPT);
+                self.end_if_due(now);
+                self.timers.set(now + limits::SWEEP, Due::Sweep);
+            }
+        }
+    }
+
+    fn sweep_viewers(&mut self, now: Ms) {
+        let overdue = self.viewers.iter().filter(|(_, v)| {
+            let silent = !v.spoke && now - v.since >= limits::FIRST_WORD;
+            let partial = v.partial.is_some_and(|t| now - t >= limits::WHOLE);
+            // One that never brought a good set-up has had its answers.
+            let keep = if v.good { limits::VIEWER_IDLE } else { limits::FIRST_WORD };
+            v.open.is_empty() && (silent || partial || now - v.used >= keep)
+        });
+        let overdue: Vec<ConnId> = overdue.map(|(conn, _)| *conn).collect();
+        overdue.into_iter().for_each(|conn| self.close_viewer(conn, now));
+    }
+
+    fn sweep_servers(&mut self, now: Ms) {
+        let partial = |t: Option<Ms>| t.is_some_and(|t| now - t >= limits::WHOLE);
+        let overdue = self.lines.iter().filter(|(_, l)| l.up && partial(l.partial));
+        let overdue: Vec<ConnId> = overdue.map(|(conn, _)| *conn).collect();
+        overdue.into_iter().for_each(|conn| self.close_line(conn, now));
+        let mut close = Vec::new();
+        let mut test = Vec::new();
+        for s in self.servers.values() {
+            let used = !s.standing.is_empty();
+            let up: Vec<ConnId> =
+                s.lines.iter().copied().filter(|c| self.lines.get(c).is_some_and(|l| l.up)).collect();
+            for (n, conn) in up.iter().enumerate() {
+                let line = &self.lines[conn];
+                let busy = !line.out.is_empty() || !line.tests.is_empty();
+                let keep = match n {
+                    0 if used => Ms::INFINITY,
+                    0 if s.listing == Listing::Gone => 0.0,
+                    0 => self.told.idle * limits::IDLE_SHARE,
+                    _ => limits::SPARE_IDLE,
+                };
+                if !busy && now - line.used >= keep {
+                    close.push(*conn);
+                }
+            }
+            if let (true, Some(conn)) = (used && now - s.heard >= limits::TEST_AFTER, up.first()) {
+                if self.lines[conn].tests.values().all(|t| *t != Test::There) {
+                    test.push(*conn);
+                }
+            }
+        }
+        test.into_iter().for_each(|conn| self.test(conn, Test::There, now));
+        close.into_iter().for_each(|conn| self.close_line(conn, now));
+    }
+
+    /// The node is told to stop: it takes and answers what still comes, and ends once nothing is owed.
+    pub fn stop(&mut self, now: Ms) {
+        if self.stopping.is_none() {
+            self.stopping = Some(now);
+            self.dos.push(Do::Log(format!("stopping sessions={}", self.sess.len())));
+        }
+    }
+
+    fn end_if_due(&mut self, now: Ms) {
+        let Some(told) = self.stopping else { return };
+        let asked = self.sess.values().any(|s| matches!(s.stage, Stage::Asked { .. }));
+        let last = limits::LAST_SESSIONS + self.told.longest_wait.max(3_000.0);
+        let done = self.sess.is_empty() && self.owed.is_empty() && now - told >= limits::LAST_REQUESTS;
+        if !asked && (done || now - told >= last) {
+            self.dos.push(Do::Exit);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/core/list.rs
@@ -0,0 +1,151 @@
+//! The list of servers, followed by questions to the name service.
+use super::servers::Server;
+use super::{Due, Node};
+use crate::exchange::Do;
+use crate::limits;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use walnutline::fleet::{Listed, Listing};
+use walnutline::ids::{CellNo, KindNo, Ms, ServerId, ZoneNo};
+use walnutline_desk::retry::Retry;
+use walnutline_platform::configuration::Configuration;
+use walnutline_platform::{names, ServerLine};
+
+pub(super) struct Names {
+    address: SocketAddr,
+    /// Number of the last change that was heard.
+    serial: u32,
+    /// Ids of questions that may still be answered.
+    asked: VecDeque<u16>,
+}
+
+impl Names {
+    pub fn new(address: SocketAddr, serial: u32) -> Self {
+        Names { address, serial, asked: VecDeque::new() }
+    }
+}
+
+impl Node {
+    /// Asks for the list; a lost answer is made up for by the next question.
+    pub(super) fn poll(&mut self, now: Ms) {
+        let id = self.rng.u16(..);
+        if self.names.asked.len() >= limits::ASKED {
+            self.names.asked.pop_front();
+        }
+        self.names.asked.push_back(id);
+        self.dos.push(Do::Query { to: self.names.address, bytes: names::query(id) });
+        self.timers.set(now + limits::POLL, Due::Poll);
+    }
+
+    /// A datagram that came from there. What is not a good answer to one of the last questions, or is older than
+    /// what is known, is passed over.
+    pub fn datagram(&mut self, from: SocketAddr, bytes: &[u8], now: Ms) {
+        if from != self.names.address || bytes.len() < 2 {
+            return;
+        }
+        let id = u16::from_be_bytes([bytes[0], bytes[1]]);
+        let Some(at) = self.names.asked.iter().position(|a| *a == id) else { return };
+        let Ok(answer) = names::read(bytes, id) else { return };
+        self.names.asked.remove(at);
+        if answer.serial > self.names.serial {
+            self.names.serial = answer.serial;
+            self.listed(answer.servers, now);
+            self.settle(now);
+        }
+    }
+
+    /// A new configuration, of which the name service's address counts.
+    pub fn configured(&mut self, told: Configuration, now: Ms) {
+        self.names.address = told.names;
+        self.names.asked.clear();
+        if told.last > self.names.serial {
+            self.names.serial = told.last;
+            self.listed(told.servers, now);
+        }
+        self.poll(now);
+        self.settle(now);
+    }
+
+    /// The whole list.
+    pub(super) fn listed(&mut self, lines: Vec<ServerLine>, now: Ms) {
+        let mut there = BTreeSet::new();
+        let mut listed = Vec::new();
+        for line in lines {
+            let id = self.server_id(&line, now);
+            there.insert(id);
+            let position = |of: &[String], name: &str| of.iter().position(|n| n == name).unwrap_or(0);
+            listed.push(Listed {
+                id,
+                zone: ZoneNo(position(&self.told.zones, &line.zone) as u8),
+                kind: KindNo(position(&self.told.kinds, &line.kind) as u8),
+                cell: CellNo(line.cell),
+                listing: if line.draining { Listing::Draining } else { Listing::Ready },
+                weight: line.weight,
+                started: line.started,
+            });
+        }
+        let gone: Vec<ServerId> = self.servers.keys().filter(|id| !there.contains(id)).copied().collect();
+        for id in gone {
+            let Some(s) = self.servers.get_mut(&id) else { continue };
+            s.listing = Listing::Gone;
+            // With no connection left, nothing will ever tell of what stood there.
+            if s.lines.is_empty() {
+                self.cut(id, now);
+            }
+        }
+        self.desk.listed_all(listed);
+    }
+
+    /// The server of a line of the list, as it is told now. An id is not an address: another process, or another
+    /// address under the same id, shares nothing with what was known.
+    fn server_id(&mut self, line: &ServerLine, now: Ms) -> ServerId {
+        let listing = if line.draining { Listing::Draining } else { Listing::Ready };
+        if let Some(id) = self.by_name.get(&line.name).copied() {
+            let Some(s) = self.servers.get_mut(&id) else { return id };
+            s.listing = listing;
+            if s.address != line.address || s.started != line.started {
+                (s.address, s.started) = (line.address, line.started);
+                let lines = s.lines.clone();
+                self.cut(id, now);
+                lines.into_iter().for_each(|conn| self.close_line(conn, now));
+                self.keep_up(id, now);
+            }
+            return id;
+        }
+        self.next_server += 1;
+        let id = ServerId(self.next_server);
+        self.by_name.insert(line.name.clone(), id);
+        let server = Server {
+            name: line.name.clone(),
+            address: line.address,
+            listing,
+            started: line.started,
+            lines: Vec::new(),
+            standing: BTreeSet::new(),
+            unsent: BTreeMap::new(),
+            heard: now,
+            fails: 0,
+            retry: Retry::default(),
+        };
+        self.servers.insert(id, server);
+        self.keep_up(id, now);
+        id
+    }
+
+    /// Servers gone from the list that nothing refers to any more are forgotten.
+    pub(super) fn forget(&mut self) {
+        let Node { servers, by_name, desk, .. } = self;
+        let in_use: BTreeSet<ServerId> = desk.hand.sess.values().filter_map(|s| s.at).collect();
+        servers.retain(|id, s| {
+            let keep = s.listing != Listing::Gone
+                || !s.lines.is_empty()
+                || !s.standing.is_empty()
+                || in_use.contains(id);
+            if !keep {
+                by_name.remove(&s.name);
+                desk.front.fleet.servers.remove(id);
+            }
+            keep
+        });
+    }
+}
--- /dev/null
+++ b/crates/node/src/core/mod.rs
@@ -0,0 +1,218 @@
+//! One owner of all sessions, connections and time-outs of a node. It is told the time and what came in, and says
+//! what to do next and when to call again. Every decision is asked of the module through the desk.
+//!
+//! - [`viewers`]: what viewers send and are owed.
+//! - [`servers`]: connections to servers, and what each end of one proves.
+//! - [`list`]: the list of servers, followed by questions to the name service.
+//! - [`care`]: what is due with time: silent, idle and overdue peers, and the end of the node.
+//!
+//! State grows with what is open now: sessions in hand, connections, servers listed or still in use.
+mod care;
+mod list;
+mod servers;
+mod viewers;
+
+use crate::exchange::{ConnId, Do};
+use crate::limits;
+use list::Names;
+use servers::{Line, Server};
+use std::collections::{BTreeMap, VecDeque};
+use viewers::Viewer;
+use walnutline::ids::{Ms, ServerId, SessId};
+use walnutline::interface::Ending;
+use walnutline::terms::Terms;
+use walnutline_desk::desk::{Action, Desk};
+use walnutline_desk::stall::Stall;
+use walnutline_desk::timers::Timers;
+use walnutline_platform::configuration::Configuration;
+use walnutline_platform::viewer::{self, Wanted};
+
+/// A SETUP that is out, or waits for a connection that is being opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Out {
+    server: ServerId,
+    line: ConnId,
+    /// Tells it from other SETUPs of the same session.
+    no: u32,
+    written: bool,
+}
+
+enum Stage {
+    /// Its answer is owed to this connection.
+    Asked { from: ConnId, wanted: Box<Wanted>, out: Option<Out> },
+    /// It plays; the connection that its set-up came by, as long as that is open.
+    Stands { from: Option<ConnId>, server: ServerId },
+}
+
+struct Session {
+    stage: Stage,
+    setups: u32,
+    /// Until when the SETUP that is out is waited for.
+    until: Ms,
+}
+
+/// A release that found no viewer's connection.
+struct Owed {
+    id: u64,
+    cause: u32,
+    since: Ms,
+}
+
+#[derive(Debug)]
+enum Due {
+    Setup { id: SessId, no: u32 },
+    Connecting { conn: ConnId },
+    Test { conn: ConnId, id: u64 },
+    Reconnect { server: ServerId },
+    Sweep,
+    Poll,
+}
+
+pub struct Node {
+    pub desk: Desk,
+    /// Names of the settings by their positions, and the waits that the settings state.
+    told: Configuration,
+    sess: BTreeMap<SessId, Session>,
+    viewers: BTreeMap<ConnId, Viewer>,
+    most_viewers: usize,
+    /// The viewer's connection that last brought a set-up that could be taken.
+    last_good: Option<ConnId>,
+    servers: BTreeMap<ServerId, Server>,
+    by_name: BTreeMap<String, ServerId>,
+    lines: BTreeMap<ConnId, Line>,
+    owed: VecDeque<Owed>,
+    names: Names,
+    timers: Timers<Due>,
+    stall: Stall,
+    rng: fastrand::Rng,
+    next_server: u32,
+    next_conn: u64,
+    stopping: Option<Ms>,
+    actions: Vec<Action>,
+    dos: Vec<Do>,
+    again_at: Ms,
+    /// The time of the last call.
+    clock: Ms,
+}
+
+impl Node {
+    /// A node with the list that its configuration holds; connections to those servers are opened at once.
+    pub fn new(told: Configuration, now: Ms) -> Result<Node, String> {
+        let terms = Terms::parse(&told.terms).map_err(|e| format!("settings: {e}"))?;
+        let servers = told.servers.clone();
+        let mut node = Node {
+            desk: Desk::new(terms, told.seed, now),
+            sess: BTreeMap::new(),
+            viewers: BTreeMap::new(),
+            most_viewers: limits::viewers(told.sockets, servers.len()),
+            last_good: None,
+            servers: BTreeMap::new(),
+            by_name: BTreeMap::new(),
+            lines: BTreeMap::new(),
+            owed: VecDeque::new(),
+            names: Names::new(told.names, told.last),
+            timers: Timers::default(),
+            stall: Stall::default(),
+            rng: fastrand::Rng::with_seed(told.seed ^ 0x6e6f_6465),
+            next_server: 0,
+            next_conn: 0,
+            stopping: None,
+            actions: Vec::new(),
+            dos: Vec::new(),
+            again_at: now,
+            clock: now,
+            told,
+        };
+        node.listed(servers, now);
+        node.timers.set(now, Due::Poll);
+        node.timers.set(now + limits::SWEEP, Due::Sweep);
+        Ok(node)
+    }
+
+    /// A number for a connection that comes in.
+    pub fn conn(&mut self) -> ConnId {
+        self.next_conn += 1;
+        ConnId(self.next_conn)
+    }
+
+    pub fn take(&mut self) -> Vec<Do> {
+        std::mem::take(&mut self.dos)
+    }
+
+    /// How many viewers' connections are held at most.
+    pub fn most_viewers(&self) -> usize {
+        self.most_viewers
+    }
+
+    /// Bytes that came in on a connection at that time.
+    pub fn bytes(&mut self, conn: ConnId, bytes: &[u8], at: Ms, now: Ms) {
+        if self.viewers.contains_key(&conn) {
+            self.viewer_bytes(conn, bytes, at, now);
+        } else if self.lines.contains_key(&conn) {
+            self.server_bytes(conn, bytes, now);
+        }
+        self.settle(now);
+    }
+
+    /// A connection is over, or never came up.
+    pub fn closed(&mut self, conn: ConnId, end: crate::exchange::End, now: Ms) {
+        if self.viewers.contains_key(&conn) {
+            self.viewer_closed(conn, now);
+        } else if self.lines.contains_key(&conn) {
+            self.line_closed(conn, end, now);
+        }
+        self.settle(now);
+    }
+
+    /// Acts on what the module answered. An outcome that is known at once leads to the next answer.
+    fn settle(&mut self, now: Ms) {
+        self.clock = now;
+        let mut next = 0;
+        while next < self.actions.len() {
+            let action = self.actions[next].clone();
+            next += 1;
+            match action {
+                Action::Setup { id, server, timeout, .. } => self.setup(id, server, timeout, now),
+                Action::Rung { id, rung } => self.rung(id, rung),
+                Action::Probe { server } => self.probe(server, now),
+                Action::BusyReply { id, come_back } => self.answer(id, viewer::busy(id.0, come_back)),
+                Action::TornDown { id } => self.answer(id, viewer::torn_down(id.0)),
+                Action::Log(line) => self.dos.push(Do::Log(line)),
+                Action::AgainAt(at) => self.again_at = at,
+            }
+        }
+        self.actions.clear();
+    }
+
+    /// The final answer of a session that does not play.
+    fn answer(&mut self, id: SessId, bytes: Vec<u8>) {
+        if let Some(Session { stage: Stage::Asked { from, .. }, .. }) = self.sess.remove(&id) {
+            if let Some(v) = self.viewers.get_mut(&from) {
+                v.open.remove(&id);
+                self.dos.push(Do::Write { conn: from, bytes });
+            }
+        }
+    }
+
+    /// How the SETUP of a session ended that is out no more.
+    fn setup_ended(&mut self, id: SessId, ending: Ending, now: Ms) {
+        if let Some(Session { stage: Stage::Asked { out, .. }, .. }) = self.sess.get_mut(&id) {
+            *out = None;
+            self.desk.ended(id, ending, false, now, &mut self.actions);
+        }
+    }
+
+    /// A session that stood is over; its viewer is told the cause where one is owed.
+    fn over(&mut self, id: SessId, ending: Ending, cause: Option<u32>, now: Ms) {
+        let Some(Session { stage: Stage::Stands { from, server }, .. }) = self.sess.remove(&id) else {
+            return;
+        };
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.standing.remove(&id);
+        }
+        if let Some(cause) = cause {
+            self.release(id.0, from, cause, now);
+        }
+        self.desk.ended(id, ending, true, now, &mut self.actions);
+    }
+}
--- /dev/null
+++ b/crates/node/src/core/servers.rs
@@ -0,0 +1,415 @@
+//! Connections to servers: which one a message goes out on, and what the end of each proves.
+use super::{Due, Node, Out, Stage};
+use crate::exchange::{ConnId, Do, End};
+use crate::limits;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use walnutline::fleet::Listing;
+use walnutline::ids::{Ms, ServerId, SessId};
+use walnutline::interface::Ending;
+use walnutline_desk::retry::Retry;
+use walnutline_platform::fields;
+use walnutline_platform::frame::Reader;
+use walnutline_platform::server::{self, FromServer, Note, Report};
+use walnutline_platform::viewer;
+
+pub(super) struct Server {
+    pub name: String,
+    pub address: SocketAddr,
+    pub listing: Listing,
+    pub started: Option<Ms>,
+    pub lines: Vec<ConnId>,
+    /// Sessions that stand there.
+    pub standing: BTreeSet<SessId>,
+    /// Messages on sessions there that wait for a connection: the last one of each.
+    pub unsent: BTreeMap<SessId, Vec<u8>>,
+    pub heard: Ms,
+    /// Connections in a row that did not come up.
+    pub fails: u32,
+    pub retry: Retry,
+}
+
+/// What a test is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Test {
+    /// The module asked.
+    Probe,
+    /// It has not been heard for long.
+    There,
+}
+
+pub(super) struct Line {
+    pub server: ServerId,
+    pub up: bool,
+    pub reader: Reader,
+    pub partial: Option<Ms>,
+    /// SETUPs that are out on it, or wait for it to open.
+    pub out: BTreeSet<SessId>,
+    pub tests: BTreeMap<u64, Test>,
+    /// Tests that wait for it to open.
+    pub probes: u32,
+    /// Set-ups that were given up: a good answer that still comes is released.
+    pub given_up: VecDeque<SessId>,
+    pub used: Ms,
+}
+
+impl Node {
+    // ---- opening and closing ----
+
+    fn connect(&mut self, server: ServerId, now: Ms) -> Option<ConnId> {
+        let address = self.servers.get(&server)?.address;
+        let conn = self.conn();
+        self.servers.get_mut(&server)?.lines.push(conn);
+        let line = Line {
+            server,
+            up: false,
+            reader: Reader::default(),
+            partial: None,
+            out: BTreeSet::new(),
+            tests: BTreeMap::new(),
+            probes: 0,
+            given_up: VecDeque::new(),
+            used: now,
+        };
+        self.lines.insert(conn, line);
+        self.timers.set(now + self.told.connect_within, Due::Connecting { conn });
+        self.dos.push(Do::Connect { conn, address });
+        Some(conn)
+    }
+
+    /// Sees to it that a server has a connection, or one that is being opened.
+    pub(super) fn keep_up(&mut self, server: ServerId, now: Ms) {
+        if self.servers.get(&server).is_some_and(|s| s.lines.is_empty() && s.listing != Listing::Gone) {
+            self.connect(server, now);
+        }
+    }
+
+    /// A connection came up.
+    pub fn connected(&mut self, conn: ConnId, now: Ms) {
+        let Some(line) = self.lines.get_mut(&conn) else { return };
+        (line.up, line.used) = (true, now);
+        let (server, waiting, probes) = (line.server, line.out.clone(), std::mem::take(&mut line.probes));
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        s.fails = 0;
+        s.retry.worked();
+        for bytes in std::mem::take(&mut s.unsent).into_values() {
+            self.dos.push(Do::Write { conn, bytes });
+        }
+        waiting.into_iter().for_each(|id| self.write_setup(id, conn, now));
+        (0..probes).for_each(|_| self.test(conn, Test::Probe, now));
+        self.settle(now);
+    }
+
+    pub(super) fn close_line(&mut self, conn: ConnId, now: Ms) {
+        self.dos.push(Do::Close { conn });
+        self.line_closed(conn, End::Closed, now);
+    }
+
+    pub(super) fn line_closed(&mut self, conn: ConnId, end: End, now: Ms) {
+        let Some(line) = self.lines.remove(&conn) else { return };
+        let server = line.server;
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        s.lines.retain(|c| *c != conn);
+        if !line.up {
+            s.fails += 1;
+        }
+        // Nobody listens: its process is gone, and what stood there is cut. A machine that takes no new connection
+        // and says nothing on an old one is gone as well. One that is gone from the list is not asked again: its
+        // address may be another's.
+        let silent = now - s.heard > limits::TEST_AFTER && s.fails > 0;
+        let gone = s.listing == Listing::Gone && s.lines.is_empty();
+        if end == End::Refused || !line.up && silent || gone {
+            self.cut(server, now);
+        } else if self.servers[&server].lines.is_empty() && !self.servers[&server].standing.is_empty() {
+            if line.up {
+                self.keep_up(server, now);
+            } else if let Some(s) = self.servers.get_mut(&server) {
+                let wait = s.retry.failed(&mut self.rng);
+                self.timers.set(now + wait, Due::Reconnect { server });
+            }
+        }
+        let ending = if line.up { Ending::Broken } else { Ending::NoConnection };
+        line.out.into_iter().for_each(|id| self.setup_ended(id, ending, now));
+        let probes = line.tests.values().filter(|t| **t == Test::Probe).count() as u32 + line.probes;
+        (0..probes).for_each(|_| self.desk.probed(server, ending, now));
+    }
+
+    /// All that stood at a server is over.
+    pub(super) fn cut(&mut self, server: ServerId, now: Ms) {
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        s.unsent.clear();
+        let standing = std::mem::take(&mut s.standing);
+        if !standing.is_empty() {
+            self.dos.push(Do::Log(format!("server {} gone: {} sessions cut", s.name, standing.len())));
+        }
+        standing.into_iter().for_each(|id| self.over(id, Ending::Broken, Some(fields::CUT), now));
+    }
+
+    // ---- what goes out ----
+
+    pub(super) fn setup(&mut self, id: SessId, server: ServerId, timeout: Ms, now: Ms) {
+        let Some(sess) = self.sess.get_mut(&id) else { return };
+        let Stage::Asked { out, .. } = &mut sess.stage else { return };
+        debug_assert!(out.is_none(), "two SETUPs out for {id:?}");
+        let Some(s) = self.servers.get(&server) else {
+            return self.setup_ended(id, Ending::NoConnection, now);
+        };
+        // One with nothing out on it, else a new one, else the one with least.
+        let load = |c: &ConnId| self.lines.get(c).map_or((true, usize::MAX), |l| (!l.up, l.out.len()));
+        let best = s.lines.iter().copied().min_by_key(load);
+        let free = best.filter(|c| load(c).1 == 0);
+        let room = s.lines.len() < limits::LINES;
+        let Some(conn) = free.or_else(|| if room { self.connect(server, now) } else { best }) else {
+            return self.setup_ended(id, Ending::NoConnection, now);
+        };
+        let Some(sess) = self.sess.get_mut(&id) else { return };
+        sess.setups += 1;
+        sess.until = now + timeout;
+        let no = sess.setups;
+        if let Stage::Asked { out, .. } = &mut sess.stage {
+            *out = Some(Out { server, line: conn, no, written: false });
+        }
+        self.timers.set(now + timeout, Due::Setup { id, no });
+        if let Some(line) = self.lines.get_mut(&conn) {
+            line.out.insert(id);
+            if line.up {
+                self.write_setup(id, conn, now);
+            }
+        }
+    }
+
+    /// Writes a SETUP, with the rung that the module has set and the time that is left of its time-out.
+    fn write_setup(&mut self, id: SessId, conn: ConnId, now: Ms) {
+        let rung = self.desk.hand.sess.get(&id).map_or(0, |s| s.rung);
+        let Some(sess) = self.sess.get_mut(&id) else { return };
+        let Stage::Asked { wanted, out: Some(out), .. } = &mut sess.stage else { return };
+        out.written = true;
+        let until = sess.until;
+        let bytes = server::setup(wanted, rung, until - now);
+        if let Some(line) = self.lines.get_mut(&conn) {
+            line.used = now;
+        }
+        self.dos.push(Do::Write { conn, bytes });
+    }
+
+    /// A SETUP whose time is over.
+    pub(super) fn setup_due(&mut self, id: SessId, no: u32, now: Ms) {
+        let out = match self.sess.get(&id).map(|s| &s.stage) {
+            Some(Stage::Asked { out: Some(out), .. }) if out.no == no => *out,
+            _ => return,
+        };
+        self.give_up(id, out);
+        let ending = if out.written { Ending::TimedOut } else { Ending::NoConnection };
+        self.setup_ended(id, ending, now);
+    }
+
+    /// Tells the server that a SETUP is no longer waited for.
+    pub(super) fn give_up(&mut self, id: SessId, out: Out) {
+        let Some(line) = self.lines.get_mut(&out.line) else { return };
+        line.out.remove(&id);
+        if out.written {
+            if line.given_up.len() >= limits::GIVEN_UP {
+                line.given_up.pop_front();
+            }
+            line.given_up.push_back(id);
+            self.dos.push(Do::Write { conn: out.line, bytes: server::give_up(id.0) });
+        }
+    }
+
+    /// A message on a session that stands, on any connection to its server.
+    pub(super) fn to_server(&mut self, server: ServerId, id: SessId, bytes: Vec<u8>, now: Ms) {
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        let up = s.lines.iter().find(|c| self.lines.get(c).is_some_and(|l| l.up));
+        match up {
+            Some(conn) => self.dos.push(Do::Write { conn: *conn, bytes }),
+            None => {
+                s.unsent.insert(id, bytes);
+                self.keep_up(server, now);
+            }
+        }
+    }
+
+    pub(super) fn rung(&mut self, id: SessId, rung: u8) {
+        let Some(Stage::Stands { server, .. }) = self.sess.get(&id).map(|s| &s.stage) else { return };
+        let (server, now) = (*server, self.clock);
+        self.to_server(server, id, server::rung(id.0, rung), now);
+    }
+
+    pub(super) fn probe(&mut self, server: ServerId, now: Ms) {
+        let Some(s) = self.servers.get(&server) else { return };
+        let load = |c: &ConnId| self.lines.get(c).map_or((true, usize::MAX), |l| (!l.up, l.out.len()));
+        let conn = match s.lines.iter().copied().min_by_key(load) {
+            Some(conn) => Some(conn),
+            None => self.connect(server, now),
+        };
+        let Some((conn, line)) = conn.and_then(|c| Some((c, self.lines.get_mut(&c)?))) else { return };
+        if line.up {
+            self.test(conn, Test::Probe, now);
+        } else {
+            line.probes += 1;
+        }
+    }
+
+    pub(super) fn test(&mut self, conn: ConnId, what: Test, now: Ms) {
+        let id = self.rng.u64(..);
+        let Some(line) = self.lines.get_mut(&conn) else { return };
+        line.tests.insert(id, what);
+        let (wait, bytes) = match what {
+            Test::Probe => (self.told.probe_within, server::probe(id)),
+            Test::There => (limits::TEST_WAIT, server::test(id)),
+        };
+        self.timers.set(now + wait, Due::Test { conn, id });
+        self.dos.push(Do::Write { conn, bytes });
+    }
+
+    /// A test was not answered in time. Where it was to tell whether the server is there, a new connection is.
+    pub(super) fn test_due(&mut self, conn: ConnId, id: u64, now: Ms) {
+        let Some(line) = self.lines.get_mut(&conn) else { return };
+        let server = line.server;
+        match line.tests.remove(&id) {
+            Some(Test::Probe) => self.desk.probed(server, Ending::TimedOut, now),
+            Some(Test::There) => {
+                if self.servers.get(&server).is_some_and(|s| now - s.heard > limits::TEST_AFTER) {
+                    self.connect(server, now);
+                }
+            }
+            None => {}
+        }
+    }
+
+    // ---- what comes in ----
+
+    pub(super) fn server_bytes(&mut self, conn: ConnId, bytes: &[u8], now: Ms) {
+        let Some(line) = self.lines.get_mut(&conn) else { return };
+        let server = line.server;
+        line.reader.push(bytes);
+        line.used = now;
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.heard = now;
+        }
+        loop {
+            let Some(line) = self.lines.get_mut(&conn) else { return };
+            match line.reader.next_message() {
+                Ok(Some(message)) => {
+                    line.partial = None;
+                    self.server_said(conn, server, server::read(message), now);
+                }
+                Ok(None) => {
+                    line.partial = line.reader.is_partial().then(|| line.partial.unwrap_or(now));
+                    return;
+                }
+                Err(bad) => {
+                    let name = self.servers.get(&server).map_or("", |s| &s.name);
+                    self.dos.push(Do::Log(format!("server {name}: {bad}; connection closed")));
+                    return self.close_line(conn, now);
+                }
+            }
+        }
+    }
+
+    fn server_said(&mut self, conn: ConnId, server: ServerId, said: FromServer, now: Ms) {
+        match said {
+            FromServer::Setup { id, status, description, report } => {
+                self.reported(server, &report, now);
+                self.setup_answered(conn, server, SessId(id), status, &description, now);
+            }
+            FromServer::Tested { id, status, report } => {
+                let what = self.lines.get_mut(&conn).and_then(|l| l.tests.remove(&id));
+                self.reported(server, &report, now);
+                if what == Some(Test::Probe) {
+                    let ending = if status < 300 { Ending::Done } else { Ending::Errored };
+                    self.desk.probed(server, ending, now);
+                }
+            }
+            FromServer::Released { id, cause, cseq, report } => {
+                self.dos.push(Do::Write { conn, bytes: server::heard(id, cseq) });
+                self.reported(server, &report, now);
+                self.released(conn, server, SessId(id), cause, now);
+            }
+            FromServer::Note { id, note, figure } => {
+                let here =
+                    |s: &super::Session| matches!(s.stage, Stage::Stands { server: at, .. } if at == server);
+                if self.sess.get(&SessId(id)).is_none_or(|s| !here(s)) {
+                    return;
+                }
+                match note {
+                    Note::Share => self.desk.share_heard(server, figure, now),
+                    Note::Rung => self.desk.rung_told(SessId(id), figure.clamp(0.0, 255.0) as u8),
+                    Note::Link => self.desk.link_heard(server, figure, now),
+                    Note::Uplink => self.desk.uplink_heard(server, figure, now),
+                }
+            }
+            FromServer::Other => {}
+        }
+    }
+
+    /// A report's figures, in the order that the settings name them.
+    fn reported(&mut self, server: ServerId, report: &Report, now: Ms) {
+        if !report.is_empty() {
+            let value = |c: &String| report.iter().find(|(name, _)| name == c).map_or(f64::NAN, |(_, v)| *v);
+            let values: Vec<f64> = self.told.columns.iter().map(value).collect();
+            self.desk.report(server, &values, now);
+        }
+    }
+
+    fn setup_answered(
+        &mut self,
+        conn: ConnId,
+        server: ServerId,
+        id: SessId,
+        status: u16,
+        description: &[u8],
+        now: Ms,
+    ) {
+        let Some(line) = self.lines.get_mut(&conn) else { return };
+        if !line.out.remove(&id) {
+            if let Some(at) = line.given_up.iter().position(|g| *g == id) {
+                line.given_up.remove(at);
+                if status < 300 {
+                    // It stands there after all, and nobody waits for it.
+                    self.dos.push(Do::Write { conn, bytes: server::release(id.0, fields::WITHDRAWN) });
+                }
+            }
+            return;
+        }
+        if status >= 300 {
+            let ending = match status {
+                453 => Ending::BusyReplied,
+                454 => Ending::NeverSent,
+                504 => Ending::Broken,
+                _ => Ending::Errored,
+            };
+            return self.setup_ended(id, ending, now);
+        }
+        let Some(sess) = self.sess.get_mut(&id) else { return };
+        let Stage::Asked { from, .. } = sess.stage else { return };
+        sess.stage = Stage::Stands { from: Some(from), server };
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.standing.insert(id);
+        }
+        if let Some(v) = self.viewers.get_mut(&from) {
+            v.open.remove(&id);
+            v.used = now;
+        }
+        self.dos.push(Do::Write { conn: from, bytes: viewer::plays(id.0, description) });
+        self.desk.started(id, now);
+    }
+
+    /// A server tells that a session is over, or that a set-up broke. It may tell so more than once.
+    fn released(&mut self, conn: ConnId, server: ServerId, id: SessId, cause: Option<u32>, now: Ms) {
+        match self.sess.get(&id).map(|s| &s.stage) {
+            Some(Stage::Stands { server: at, .. }) if *at == server => match cause {
+                Some(fields::ENDED) => self.over(id, Ending::Done, Some(fields::ENDED), now),
+                Some(fields::WITHDRAWN) => self.over(id, Ending::Withdrawn, None, now),
+                _ => self.over(id, Ending::Broken, Some(fields::CUT), now),
+            },
+            Some(Stage::Asked { out: Some(out), .. }) if out.line == conn => {
+                if let Some(line) = self.lines.get_mut(&conn) {
+                    line.out.remove(&id);
+                }
+                self.setup_ended(id, Ending::Broken, now);
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/core/viewers.rs
@@ -0,0 +1,241 @@
+//! What viewers send and are owed.
+use super::{Node, Owed, Session, Stage};
+use crate::exchange::{ConnId, Do};
+use crate::limits;
+use std::collections::BTreeSet;
+use walnutline::ids::{CellNo, GroupNo, Ms, SessId, TitleId};
+use walnutline::interface::{Ending, Holders, Request};
+use walnutline_platform::fields;
+use walnutline_platform::frame::Reader;
+use walnutline_platform::server;
+use walnutline_platform::viewer::{self, Fault, FromViewer, Wanted};
+
+pub(super) struct Viewer {
+    pub reader: Reader,
+    pub since: Ms,
+    /// When something whole was last read or its last set-up was answered.
+    pub used: Ms,
+    /// When a message began that is not whole.
+    pub partial: Option<Ms>,
+    /// Whether it has brought a set-up that could be taken.
+    pub good: bool,
+    pub spoke: bool,
+    /// Set-ups whose answers are owed here.
+    pub open: BTreeSet<SessId>,
+}
+
+impl Node {
+    /// A viewer's connection was taken in. At the most that are held, the one that can best be done without is
+    /// closed: one that never brought a set-up, then one idle for longest.
+    pub fn accepted(&mut self, conn: ConnId, now: Ms) {
+        if self.viewers.len() >= self.most_viewers {
+            let idle = self.viewers.iter().filter(|(_, v)| v.open.is_empty());
+            let victim = idle.min_by(|(_, a), (_, b)| a.good.cmp(&b.good).then(a.used.total_cmp(&b.used)));
+            match victim.map(|(conn, _)| *conn) {
+                Some(victim) => self.close_viewer(victim, now),
+                None => return self.dos.push(Do::Close { conn }),
+            }
+        }
+        let viewer = Viewer {
+            reader: Reader::default(),
+            since: now,
+            used: now,
+            partial: None,
+            good: false,
+            spoke: false,
+            open: BTreeSet::new(),
+        };
+        self.viewers.insert(conn, viewer);
+    }
+
+    pub(super) fn close_viewer(&mut self, conn: ConnId, now: Ms) {
+        self.dos.push(Do::Close { conn });
+        self.viewer_closed(conn, now);
+    }
+
+    /// The set-ups open on a connection are given up with it.
+    pub(super) fn viewer_closed(&mut self, conn: ConnId, now: Ms) {
+        let Some(v) = self.viewers.remove(&conn) else { return };
+        v.open.into_iter().for_each(|id| self.left(id, now));
+        if self.last_good == Some(conn) {
+            self.last_good = self.viewers.iter().rfind(|(_, v)| v.good).map(|(c, _)| *c);
+        }
+    }
+
+    pub(super) fn viewer_bytes(&mut self, conn: ConnId, bytes: &[u8], at: Ms, now: Ms) {
+        let Some(v) = self.viewers.get_mut(&conn) else { return };
+        v.reader.push(bytes);
+        loop {
+            let Some(v) = self.viewers.get_mut(&conn) else { return };
+            match v.reader.next_message() {
+                Ok(Some(message)) => {
+                    (v.spoke, v.used) = (true, now);
+                    match viewer::read(message) {
+                        Ok(said) => self.said(conn, said, at, now),
+                        Err(fault) => self.refuse(conn, &fault, 400),
+                    }
+                }
+                Ok(None) => {
+                    v.partial = v.reader.is_partial().then(|| v.partial.unwrap_or(at));
+                    return;
+                }
+                Err(_) => {
+                    let fault = Fault { id: None, cseq: None, why: String::new() };
+                    self.refuse(conn, &fault, 400);
+                    return self.close_viewer(conn, now);
+                }
+            }
+            // What is left after a whole message is the beginning of another one.
+            if let Some(v) = self.viewers.get_mut(&conn) {
+                v.partial = None;
+            }
+        }
+    }
+
+    fn refuse(&mut self, conn: ConnId, fault: &Fault, status: u16) {
+        self.dos.push(Do::Write { conn, bytes: viewer::refused(fault, status) });
+    }
+
+    fn said(&mut self, conn: ConnId, said: FromViewer, at: Ms, now: Ms) {
+        match said {
+            FromViewer::Setup(wanted) => {
+                let id = wanted.id;
+                if let Err((why, status)) = self.wanted(conn, wanted, at, now) {
+                    // Told without its id where that is another request's, which this is no answer to.
+                    let id = (!self.sess.contains_key(&SessId(id))).then_some(id);
+                    self.refuse(conn, &Fault { id, cseq: Some(1), why: why.into() }, status);
+                }
+            }
+            FromViewer::Teardown { id, cseq } => self.teardown(conn, id, cseq, now),
+            FromViewer::Test { id, cseq } => {
+                let status = if self.stopping.is_some() { 503 } else { 200 };
+                self.dos.push(Do::Write { conn, bytes: viewer::heard(id, cseq, status) });
+            }
+            FromViewer::Heard => {}
+        }
+    }
+
+    /// A set-up is wanted, or a session handed over; or why it can't be taken.
+    fn wanted(&mut self, conn: ConnId, w: Wanted, at: Ms, now: Ms) -> Result<(), (&'static str, u16)> {
+        let group = self.told.classes.iter().position(|c| *c == w.class).ok_or(("class", 400))?;
+        let d = &w.dest;
+        let in_range = d.home < self.told.cells
+            && (1..=self.told.cells).contains(&d.copies)
+            && usize::from(d.top) < self.told.rungs;
+        if !in_range {
+            return Err(("figures", 400));
+        }
+        let id = SessId(w.id);
+        let request = Request {
+            group: GroupNo(group as u16),
+            title: TitleId(w.title),
+            holders: Holders::Cells { home: CellNo(d.home), span: d.copies },
+            rates: None,
+            top: d.top,
+            // What passed since it was read counts against its viewer's time.
+            left: w.limit - (now - at),
+        };
+        if let Some(name) = &w.dest.at {
+            let server = self.by_name.get(name).copied();
+            self.handed_over(conn, id, server, request, now);
+            return Ok(());
+        }
+        if self.sess.contains_key(&id) {
+            return Err(("id of another request", 400));
+        }
+        let Some(v) = self.viewers.get_mut(&conn) else { return Ok(()) };
+        if v.open.len() >= limits::OPEN_SETUPS {
+            return Err(("too many at once", 503));
+        }
+        v.open.insert(id);
+        v.good = true;
+        self.last_good = Some(conn);
+        let stage = Stage::Asked { from: conn, wanted: Box::new(w), out: None };
+        self.sess.insert(id, Session { stage, setups: 0, until: now });
+        self.desk.asked(id, request, now, &mut self.actions);
+        self.hand_out_owed(conn);
+        Ok(())
+    }
+
+    /// A session that plays at a server already; it may be one that this node holds.
+    fn handed_over(
+        &mut self,
+        conn: ConnId,
+        id: SessId,
+        server: Option<walnutline::ids::ServerId>,
+        request: Request,
+        now: Ms,
+    ) {
+        if self.sess.contains_key(&id) {
+            return;
+        }
+        if let Some(v) = self.viewers.get_mut(&conn) {
+            v.good = true;
+            self.last_good = Some(conn);
+        }
+        let Some((server, s)) = server.and_then(|server| Some((server, self.servers.get_mut(&server)?)))
+        else {
+            // Its server is not there any more, and so is it.
+            return self.release(id.0, Some(conn), fields::CUT, now);
+        };
+        s.standing.insert(id);
+        let stage = Stage::Stands { from: Some(conn), server };
+        self.sess.insert(id, Session { stage, setups: 0, until: now });
+        self.desk.under_way(id, request, server, now);
+        self.keep_up(server, now);
+    }
+
+    /// A viewer gives a set-up up, or ends its session.
+    fn teardown(&mut self, conn: ConnId, id: u64, cseq: Option<u32>, now: Ms) {
+        let sess = SessId(id);
+        let status = match self.sess.get(&sess).map(|s| &s.stage) {
+            Some(Stage::Asked { from, .. }) if *from == conn => {
+                if let Some(v) = self.viewers.get_mut(&conn) {
+                    v.open.remove(&sess);
+                }
+                self.left(sess, now);
+                200
+            }
+            Some(Stage::Stands { server, .. }) => {
+                let server = *server;
+                self.to_server(server, sess, server::release(id, fields::WITHDRAWN), now);
+                self.over(sess, Ending::Withdrawn, None, now);
+                200
+            }
+            _ => 454,
+        };
+        self.dos.push(Do::Write { conn, bytes: viewer::heard(Some(id), cseq, status) });
+    }
+
+    /// No answer is owed any more: its SETUP, if one is out, is given up.
+    pub(super) fn left(&mut self, id: SessId, now: Ms) {
+        let Some(Session { stage: Stage::Asked { out, .. }, .. }) = self.sess.remove(&id) else { return };
+        self.desk.left(id);
+        if let Some(out) = out {
+            self.give_up(id, out);
+            let ending = if out.written { Ending::Withdrawn } else { Ending::NeverSent };
+            self.desk.ended(id, ending, true, now, &mut self.actions);
+        }
+    }
+
+    /// Tells a viewer that its session is over: on the connection of its set-up, else on one that has brought
+    /// set-ups, else as soon as there is one.
+    pub(super) fn release(&mut self, id: u64, from: Option<ConnId>, cause: u32, now: Ms) {
+        let open = from.filter(|c| self.viewers.contains_key(c)).or(self.last_good);
+        match open {
+            Some(conn) => self.dos.push(Do::Write { conn, bytes: viewer::release(id, cause) }),
+            None => {
+                if self.owed.len() >= limits::RELEASES {
+                    self.owed.pop_front();
+                }
+                self.owed.push_back(Owed { id, cause, since: now });
+            }
+        }
+    }
+
+    fn hand_out_owed(&mut self, conn: ConnId) {
+        while let Some(o) = self.owed.pop_front() {
+            self.dos.push(Do::Write { conn, bytes: viewer::release(o.id, o.cause) });
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/edge/hub.rs
@@ -0,0 +1,173 @@
+//! The one thread that owns the core: it tells it what came in and does what it says.
+use super::socket::{self, Gate, Socket};
+use super::{Clock, News};
+use crate::core::Node;
+use crate::exchange::{ConnId, Do, End};
+use crate::limits;
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+use std::collections::HashMap;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Events handled before what they lead to goes out.
+const ROUND: usize = 128;
+/// How soon bytes that a socket did not take are tried again, in milliseconds.
+const AGAIN: f64 = 10.0;
+
+struct Open {
+    socket: Arc<Socket>,
+    /// What the socket has not taken yet.
+    backlog: Vec<u8>,
+}
+
+pub(crate) struct Hub {
+    node: Node,
+    clock: Clock,
+    names: Arc<UdpSocket>,
+    news: Sender<News>,
+    open: HashMap<ConnId, Open>,
+    /// Connections with a backlog.
+    behind: Vec<ConnId>,
+    /// Kept for its count: sockets that came in hold it as well.
+    gate: Arc<Gate>,
+}
+
+/// Without its hub a node takes requests and answers none: better that the process ends.
+struct Guard;
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            tracing::error!("the hub broke; the node ends");
+            std::process::abort();
+        }
+    }
+}
+
+impl Hub {
+    pub fn new(node: Node, clock: Clock, names: Arc<UdpSocket>, news: Sender<News>, gate: Arc<Gate>) -> Self {
+        Hub { node, clock, names, news, open: HashMap::new(), behind: Vec::new(), gate }
+    }
+
+    pub fn run(mut self, events: &Receiver<News>) {
+        let _guard = Guard;
+        self.perform();
+        loop {
+            let now = self.clock.now();
+            let mut wait = (self.node.next_at(now) - now).clamp(0.0, 1_000.0);
+            if !self.behind.is_empty() {
+                wait = wait.min(AGAIN);
+            }
+            match events.recv_timeout(Duration::from_secs_f64(wait / 1_000.0)) {
+                Ok(first) => {
+                    self.event(first);
+                    for more in events.try_iter().take(ROUND) {
+                        self.event(more);
+                    }
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            self.node.attend(self.clock.now());
+            self.perform();
+            self.catch_up();
+        }
+    }
+
+    fn event(&mut self, news: News) {
+        let now = self.clock.now();
+        match news {
+            News::Accepted(socket) => {
+                let conn = self.node.conn();
+                self.open.insert(conn, Open { socket: socket.clone(), backlog: Vec::new() });
+                self.node.accepted(conn, now);
+                socket::serve(conn, socket, false, self.clock, self.news.clone());
+                // Room is made at once, and not only after a round of hundreds that come in.
+                self.perform();
+            }
+            News::Connected(conn) => self.node.connected(conn, now),
+            News::Bytes { conn, at, bytes } => {
+                if self.open.contains_key(&conn) {
+                    self.node.bytes(conn, &bytes, at, now);
+                }
+            }
+            News::Closed { conn, end } => {
+                self.open.remove(&conn);
+                self.node.closed(conn, end, now);
+            }
+            News::Datagram { from, bytes } => self.node.datagram(from, &bytes, now),
+            News::Configured(told) => {
+                tracing::info!(target: "walnutline::mode", names = %told.names, "configuration read anew");
+                self.node.configured(*told, now);
+            }
+            News::Stop => self.node.stop(now),
+        }
+    }
+
+    fn perform(&mut self) {
+        for what in self.node.take() {
+            match what {
+                Do::Connect { conn, address } => {
+                    match socket::connect(conn, address, self.clock, &self.news) {
+                        Ok(socket) => {
+                            self.open.insert(conn, Open { socket, backlog: Vec::new() });
+                        }
+                        Err(e) => {
+                            let refused = e.kind() == std::io::ErrorKind::ConnectionRefused;
+                            let end = if refused { End::Refused } else { End::Closed };
+                            self.node.closed(conn, end, self.clock.now());
+                        }
+                    }
+                }
+                Do::Write { conn, bytes } => self.write(conn, &bytes),
+                Do::Close { conn } => {
+                    if let Some(open) = self.open.remove(&conn) {
+                        open.socket.shut();
+                    }
+                }
+                Do::Query { to, bytes } => {
+                    // A question that is lost is asked again.
+                    let _ = self.names.send_to(&bytes, to);
+                }
+                Do::Log(line) => tracing::info!(target: "walnutline::mode", "{line}"),
+                Do::Exit => {
+                    tracing::info!(target: "walnutline::mode", "stopped");
+                    std::process::exit(0);
+                }
+            }
+        }
+    }
+
+    fn write(&mut self, conn: ConnId, bytes: &[u8]) {
+        let Some(open) = self.open.get_mut(&conn) else { return };
+        let taken = if open.backlog.is_empty() { open.socket.write(bytes) } else { Ok(0) };
+        match taken {
+            Ok(n) if n == bytes.len() => {}
+            Ok(n) if open.backlog.len() + bytes.len() - n <= limits::BACKLOG => {
+                if open.backlog.is_empty() {
+                    self.behind.push(conn);
+                }
+                open.backlog.extend_from_slice(&bytes[n..]);
+            }
+            // It does not read, or is broken: its reader tells the core.
+            _ => open.socket.shut(),
+        }
+    }
+
+    fn catch_up(&mut self) {
+        let open = &mut self.open;
+        self.behind.retain(|conn| {
+            let Some(open) = open.get_mut(conn) else { return false };
+            match open.socket.write(&open.backlog) {
+                Ok(n) => drop(open.backlog.drain(..n)),
+                Err(_) => {
+                    open.socket.shut();
+                    open.backlog = Vec::new();
+                }
+            }
+            !open.backlog.is_empty()
+        });
+        let _ = &self.gate;
+    }
+}
--- /dev/null
+++ b/crates/node/src/edge/mod.rs
@@ -0,0 +1,122 @@
+//! Sockets, threads and signals round the core. It decides nothing.
+//!
+//! - [`hub`]: the one thread that owns the core; events come to it by a bounded channel.
+//! - [`socket`]: one coroutine a connection reads; the hub writes, and never waits for it.
+mod hub;
+mod socket;
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use walnutline::ids::Ms;
+use walnutline_platform::{configuration, names};
+
+use crate::core::Node;
+use crate::exchange::{ConnId, End};
+use crate::limits;
+
+/// Stack of a coroutine, in words of 8 bytes: a piece of bytes read, and room for a few calls.
+const STACK_WORDS: usize = 0x1000;
+
+pub(crate) enum News {
+    Accepted(Arc<socket::Socket>),
+    Connected(ConnId),
+    Bytes { conn: ConnId, at: Ms, bytes: Vec<u8> },
+    Closed { conn: ConnId, end: End },
+    Datagram { from: SocketAddr, bytes: Vec<u8> },
+    Configured(Box<configuration::Configuration>),
+    Stop,
+}
+
+/// Unix milliseconds that never run backwards: the wall clock is read once, then the steady one counts.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Clock {
+    started: Instant,
+    unix: Ms,
+}
+
+impl Clock {
+    fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { started: Instant::now(), unix: unix.as_secs_f64() * 1_000.0 }
+    }
+
+    pub fn now(&self) -> Ms {
+        self.unix + self.started.elapsed().as_secs_f64() * 1_000.0
+    }
+}
+
+/// What a node is told when it starts.
+pub struct Start {
+    pub listen: SocketAddr,
+    pub file: std::path::PathBuf,
+}
+
+fn load(start: &Start) -> Result<configuration::Configuration, String> {
+    let name = start.file.display();
+    let text = std::fs::read_to_string(&start.file).map_err(|e| format!("{name}: {e}"))?;
+    configuration::read(&text).map_err(|e| format!("{name}: {e}"))
+}
+
+/// Runs a node until it is told to stop and owes nothing any more.
+pub fn run(start: &Start) -> Result<(), String> {
+    let clock = Clock::start();
+    may::config().set_workers(1).set_stack_size(STACK_WORDS);
+    let told = load(start)?;
+    let node = Node::new(told, clock.now())?;
+    let listener = socket::listen(start.listen).map_err(|e| format!("{}: {e}", start.listen))?;
+    let names = UdpSocket::bind("0.0.0.0:0").map_err(|e| format!("datagrams: {e}"))?;
+    let names = Arc::new(names);
+    let (news, events) = crossbeam_channel::bounded(limits::QUEUE);
+    let gate = Arc::new(socket::Gate::new(node.most_viewers()));
+    let thread = |name: &str, run: Box<dyn FnOnce() + Send>| -> Result<(), String> {
+        let built = std::thread::Builder::new().name(name.into()).stack_size(256 * 1024).spawn(run);
+        built.map(drop).map_err(|e| format!("thread {name}: {e}"))
+    };
+    let (to_hub, socket) = (news.clone(), names.clone());
+    thread("names", Box::new(move || hear(&socket, &to_hub)))?;
+    let mut signals = signal_hook::iterator::Signals::new([
+        signal_hook::consts::SIGHUP,
+        signal_hook::consts::SIGTERM,
+        signal_hook::consts::SIGINT,
+    ])
+    .map_err(|e| format!("signals: {e}"))?;
+    socket::accept(listener, clock, news.clone(), gate.clone()).map_err(|e| format!("accept: {e}"))?;
+    let ended = hub::Hub::new(node, clock, names, news.clone(), gate);
+    thread("hub", Box::new(move || ended.run(&events)))?;
+    tracing::info!(target: "walnutline::mode", listen = %start.listen, "node up");
+    for signal in signals.forever() {
+        let said = if signal == signal_hook::consts::SIGHUP {
+            match load(start) {
+                Ok(told) => News::Configured(Box::new(told)),
+                Err(e) => {
+                    tracing::error!("the configuration stays as it was: {e}");
+                    continue;
+                }
+            }
+        } else {
+            News::Stop
+        };
+        if news.send(said).is_err() {
+            break;
+        }
+    }
+    Ok(())
+}
+
+/// Hears datagrams. Errors of a socket without a connection tell of earlier sends and are passed over.
+fn hear(socket: &UdpSocket, hub: &crossbeam_channel::Sender<News>) {
+    let mut buffer = vec![0; names::LONGEST];
+    loop {
+        match socket.recv_from(&mut buffer) {
+            Ok((n, from)) => {
+                if hub.send(News::Datagram { from, bytes: buffer[..n].to_vec() }).is_err() {
+                    return;
+                }
+            }
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(_) => std::thread::sleep(std::time::Duration::from_millis(10)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/limits.rs
@@ -0,0 +1,56 @@
+//! What a peer may take of this node, and how long it may take it. Nothing here bears on where a session goes.
+use walnutline::ids::Ms;
+
+/// A viewer's connection says something whole within this time. Peers are owed an error or a close within 3 s.
+pub const FIRST_WORD: Ms = 2_000.0;
+/// A message that has begun is whole within this time. Long for any network, short of those 3 s.
+pub const WHOLE: Ms = 2_000.0;
+/// A viewer's connection with nothing open on it is kept for so long. Viewers close theirs after 4 s.
+pub const VIEWER_IDLE: Ms = 12_000.0;
+/// Set-ups open on one viewer's connection. More is a flood: each of them would be placed, and cost a server work.
+pub const OPEN_SETUPS: usize = 128;
+/// Connections to one server at once. A connection that breaks takes all set-ups on it along; each set-up has its
+/// own as far as this goes.
+pub const LINES: usize = 4;
+/// A further connection to a server that was idle for so long is closed.
+pub const SPARE_IDLE: Ms = 5_000.0;
+/// Share of the platform's idle time after which a connection is closed from here, before its server does:
+/// a set-up would cross the server's close.
+pub const IDLE_SHARE: f64 = 0.8;
+/// Ids of given-up set-ups that are kept for a connection, in case a good answer is still under way.
+pub const GIVEN_UP: usize = 64;
+/// A server where sessions stand and that was not heard for so long is tested.
+pub const TEST_AFTER: Ms = 2_000.0;
+/// A test that is not answered within this time is followed by a new connection: if that does not open either,
+/// the machine is gone.
+pub const TEST_WAIT: Ms = 1_200.0;
+/// Releases that found no viewer's connection are kept for so long, and so many of them.
+pub const RELEASE_KEPT: Ms = 8_000.0;
+pub const RELEASES: usize = 4_096;
+/// Time between questions to the name service: a drain is heard well within its grace.
+pub const POLL: Ms = 200.0;
+/// Questions whose answers are still taken.
+pub const ASKED: usize = 8;
+/// How often connections are looked over.
+pub const SWEEP: Ms = 250.0;
+/// After being told to stop, requests still come for so long; then the node ends once nothing is owed.
+pub const LAST_REQUESTS: Ms = 700.0;
+/// Sessions that stand are kept up for so long after the longest wait of a viewer, short of the kill.
+pub const LAST_SESSIONS: Ms = 450.0;
+/// Descriptors that are neither viewers' nor servers': standard streams, listener, pollers, datagrams, signals, the
+/// configuration, and some to spare.
+pub const OWN_DESCRIPTORS: usize = 28;
+/// Descriptors kept for servers, by server listed at the start, and at the least.
+pub const SERVER_DESCRIPTORS: usize = 3;
+pub const SERVERS_AT_LEAST: usize = 16;
+/// Bytes that wait for a peer that does not read. Then its connection is closed.
+pub const BACKLOG: usize = 256 * 1024;
+/// Events that wait for the core, each of at most a piece of bytes read at once. Readers stand still beyond.
+pub const QUEUE: usize = 512;
+pub const PIECE: usize = 4_096;
+
+/// How many connections of viewers are held at once.
+pub fn viewers(sockets: usize, servers: usize) -> usize {
+    let kept = OWN_DESCRIPTORS + SERVER_DESCRIPTORS * servers.max(SERVERS_AT_LEAST);
+    sockets.saturating_sub(kept).max(sockets / 3).max(8)
+}
--- /dev/null
+++ b/crates/platform/src/frame.rs
@@ -0,0 +1,168 @@
+//! Cuts a stream of bytes into RTSP 1.0 messages. A message's length is known, and refused, before its body is
+//! there: a peer can make a reader hold one message's bytes and no more.
+use rtsp_types::headers::{HeaderName, CONTENT_LENGTH, CSEQ, SESSION};
+use rtsp_types::{Message as Raw, Method, Request, Response, StatusCode, Url, Version};
+
+/// Longest message that the platform allows, in bytes.
+pub const LONGEST: usize = 16 * 1024;
+
+pub type Parsed = Raw<Vec<u8>>;
+
+/// Why a stream is of no more use. Where the next message would begin is not known after any of these.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Bad {
+    TooLong,
+    Length,
+    Unreadable,
+    /// What follows a message is no message: its length was told wrong, and nothing says where it truly ends.
+    Trailing,
+}
+
+impl std::fmt::Display for Bad {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        f.write_str(match self {
+            Bad::TooLong => "message too long",
+            Bad::Length => "bad Content-Length",
+            Bad::Unreadable => "not RTSP",
+            Bad::Trailing => "length does not fit",
+        })
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Reader {
+    buffer: Vec<u8>,
+}
+
+impl Reader {
+    /// Takes more bytes; callers ask for messages after each piece, so that no more than a piece beyond one
+    /// message is ever held.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Whether a message has begun and is not whole.
+    pub fn is_partial(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// The next whole message, if there is one. After an error the stream is of no more use.
+    pub fn next_message(&mut self) -> Result<Option<Parsed>, Bad> {
+        let blank = self.buffer.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
+        self.buffer.drain(..blank);
+        if self.buffer.is_empty() {
+            self.buffer = Vec::new();
+            return Ok(None);
+        }
+        if !may_begin(&self.buffer) {
+            return Err(Bad::Unreadable);
+        }
+        let Some(head) = find(&self.buffer, b"\r\n\r\n").map(|at| at + 4) else {
+            return if self.buffer.len() > LONGEST { Err(Bad::TooLong) } else { Ok(None) };
+        };
+        let whole = head.checked_add(content_length(&self.buffer[..head])?).ok_or(Bad::Length)?;
+        if whole > LONGEST {
+            return Err(Bad::TooLong);
+        }
+        if self.buffer.len() < whole {
+            return Ok(None);
+        }
+        if !may_begin(&self.buffer[whole..]) {
+            return Err(Bad::Trailing);
+        }
+        let (message, used) = Raw::parse(&self.buffer[..whole]).map_err(|_| Bad::Unreadable)?;
+        if used != whole {
+            return Err(Bad::Length);
+        }
+        self.buffer.drain(..whole);
+        Ok(Some(message))
+    }
+}
+
+/// Whether a message may begin with these bytes: a method or `RTSP/`, as far as they go.
+fn may_begin(bytes: &[u8]) -> bool {
+    let word = bytes.iter().position(|b| matches!(b, b' ' | b'/')).unwrap_or(bytes.len());
+    word <= 16
+        && (word > 0 || bytes.is_empty())
+        && bytes[..word].iter().all(|b| b.is_ascii_uppercase() || matches!(b, b'_' | b'\r' | b'\n'))
+}
+
+fn find(bytes: &[u8], what: &[u8]) -> Option<usize> {
+    bytes.windows(what.len()).position(|w| w == what)
+}
+
+fn content_length(head: &[u8]) -> Result<usize, Bad> {
+    let mut told = None;
+    for line in head.split(|b| *b == b'\n') {
+        let Some(colon) = line.iter().position(|b| *b == b':') else { continue };
+        if !line[..colon].trim_ascii().eq_ignore_ascii_case(b"content-length") {
+            continue;
+        }
+        let value = line[colon + 1..].trim_ascii();
+        let digits = !value.is_empty() && value.iter().all(u8::is_ascii_digit);
+        let value = std::str::from_utf8(value).ok().filter(|_| digits).and_then(|v| v.parse().ok());
+        if told.replace(value.ok_or(Bad::Length)?).is_some() {
+            return Err(Bad::Length);
+        }
+    }
+    Ok(told.unwrap_or(0))
+}
+
+/// A session's id: 16 lower-case hex digits, so that it is written again as it was read.
+pub fn id(text: &str) -> Option<u64> {
+    let lower = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b);
+    (text.len() == 16 && text.bytes().all(lower)).then(|| u64::from_str_radix(text, 16).ok()).flatten()
+}
+
+pub(crate) fn named(name: &'static str) -> HeaderName {
+    HeaderName::from_static_str(name).expect("a name of letters")
+}
+
+/// The bytes of a request. `path` is what follows `rtsp://media/`.
+pub(crate) fn ask(
+    method: Method,
+    path: &str,
+    cseq: u32,
+    id: u64,
+    fields: &[(&'static str, String)],
+    body: &[u8],
+) -> Vec<u8> {
+    let mut b = Request::builder(method, Version::V1_0)
+        .header(CSEQ, cseq.to_string())
+        .header(SESSION, format!("{id:016x}"))
+        .header(CONTENT_LENGTH, body.len().to_string());
+    if let Ok(uri) = Url::parse(&format!("rtsp://media/{path}")) {
+        b = b.request_uri(uri);
+    }
+    for (name, value) in fields {
+        b = b.header(named(name), value.as_str());
+    }
+    let mut bytes = Vec::with_capacity(256 + body.len());
+    // Writing to memory does not fail.
+    let _ = b.build(body).write(&mut bytes);
+    bytes
+}
+
+/// The bytes of an answer.
+pub(crate) fn reply(
+    status: u16,
+    cseq: Option<u32>,
+    id: Option<u64>,
+    fields: &[(&'static str, String)],
+    body: &[u8],
+) -> Vec<u8> {
+    let mut b = Response::builder(Version::V1_0, StatusCode::from(status))
+        .header(CONTENT_LENGTH, body.len().to_string());
+    if let Some(cseq) = cseq {
+        b = b.header(CSEQ, cseq.to_string());
+    }
+    if let Some(id) = id {
+        b = b.header(SESSION, format!("{id:016x}"));
+    }
+    for (name, value) in fields {
+        b = b.header(named(name), value.as_str());
+    }
+    let mut bytes = Vec::with_capacity(192 + body.len());
+    let _ = b.build(body).write(&mut bytes);
+    bytes
+}
--- /dev/null
+++ b/crates/platform/src/names.rs
@@ -0,0 +1,90 @@
+//! The name service: the list of servers as DNS records (RFC 1035).
+use crate::ServerLine;
+use simple_dns::rdata::RData;
+use simple_dns::{Name, Packet, PacketFlag, Question, CLASS, QCLASS, QTYPE, RCODE, TYPE};
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// What is asked for.
+pub const LIST: &str = "_data._tcp.farm.lan";
+/// Longest answer that is taken, in bytes.
+pub const LONGEST: usize = 8_192;
+/// Records tell ten times the weight.
+const WEIGHT_SCALE: f64 = 10.0;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Bad {
+    Unreadable,
+    /// Its id or question is not the one that was asked.
+    Other,
+    /// It reports a failure, or was cut short.
+    Failed,
+    /// A record that is needed is missing or out of range.
+    Incomplete,
+}
+
+#[derive(Debug, PartialEq)]
+pub struct Answer {
+    /// Number of the last change.
+    pub serial: u32,
+    pub servers: Vec<ServerLine>,
+}
+
+pub fn query(id: u16) -> Vec<u8> {
+    let mut packet = Packet::new_query(id);
+    let name = Name::new_unchecked(LIST);
+    packet.questions.push(Question::new(name, QTYPE::TYPE(TYPE::SRV), QCLASS::CLASS(CLASS::IN), false));
+    // A fixed name of short labels is always written.
+    packet.build_bytes_vec().unwrap_or_default()
+}
+
+/// The answer to the query of this id.
+pub fn read(bytes: &[u8], id: u16) -> Result<Answer, Bad> {
+    let packet = Packet::parse(bytes).map_err(|_| Bad::Unreadable)?;
+    let same = |name: &Name, other: &str| name.to_string().eq_ignore_ascii_case(other);
+    let asked = packet.questions.first().is_none_or(|q| same(&q.qname, LIST));
+    if packet.id() != id || !packet.has_flags(PacketFlag::RESPONSE) || !asked {
+        return Err(Bad::Other);
+    }
+    if packet.rcode() != RCODE::NoError || packet.has_flags(PacketFlag::TRUNCATION) {
+        return Err(Bad::Failed);
+    }
+    let serial = packet.name_servers.iter().find_map(|r| match &r.rdata {
+        RData::SOA(soa) => Some(soa.serial),
+        _ => None,
+    });
+    let mut addresses = HashMap::new();
+    let mut texts = HashMap::new();
+    for r in packet.answers.iter().chain(&packet.additional_records) {
+        match &r.rdata {
+            RData::A(a) => drop(addresses.insert(r.name.to_string(), Ipv4Addr::from(a.address))),
+            RData::TXT(txt) => drop(texts.insert(r.name.to_string(), txt.attributes())),
+            _ => {}
+        }
+    }
+    let mut servers = Vec::new();
+    for r in &packet.answers {
+        let RData::SRV(srv) = &r.rdata else { continue };
+        if !same(&r.name, LIST) {
+            continue;
+        }
+        let target = srv.target.to_string();
+        let address = addresses.get(&target).ok_or(Bad::Incomplete)?;
+        let told = texts.get(&target).ok_or(Bad::Incomplete)?;
+        let text = |key: &str| told.get(key).cloned().flatten().ok_or(Bad::Incomplete);
+        let mut labels = target.split('.');
+        let (name, zone) = labels.next().zip(labels.next()).ok_or(Bad::Incomplete)?;
+        let started: f64 = text("started")?.parse().map_err(|_| Bad::Incomplete)?;
+        servers.push(ServerLine {
+            name: name.to_owned(),
+            address: SocketAddr::from((*address, srv.port)),
+            zone: zone.to_owned(),
+            kind: text("kind")?,
+            cell: text("cell")?.parse().map_err(|_| Bad::Incomplete)?,
+            draining: srv.priority != 0,
+            weight: srv.weight as f64 / WEIGHT_SCALE,
+            started: (started.is_finite() && started != 0.0).then_some(started),
+        });
+    }
+    Ok(Answer { serial: serial.ok_or(Bad::Incomplete)?, servers })
+}
