Sessions handed over are taken whatever wait they tell, and their rungs with them

Checked in a trace of the bytes: releases of sessions that this node had set up went out within a millisecond; those of sessions handed over with 'at' did not, for each of these had been answered 400: they tell a wait of 4 294 967 ms, over the longest that fields::wait took. Their rungs (ANNOUNCE profile) come on the servers' connections before the hand-over and were dropped in server_said; they are kept for it now.

--- a/crates/node/src/core/care.rs
+++ b/crates/node/src/core/care.rs
@@ -54,6 +54,9 @@
                 self.sweep_viewers(now);
                 self.sweep_servers(now);
                 self.forget();
+                if now - self.desk.front.born > limits::EARLY {
+                    self.early_rungs.clear();
+                }
                 self.owed.retain(|o| now - o.since < limits::RELEASE_KEPT);
                 self.end_if_due(now);
                 self.timers.set(now + limits::SWEEP, Due::Sweep);
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -81,6 +81,8 @@
     by_name: BTreeMap<String, ServerId>,
     lines: BTreeMap<ConnId, Line>,
     owed: VecDeque<Owed>,
+    /// Rungs that servers told of sessions before these were handed over: the two come by different ways.
+    early_rungs: BTreeMap<SessId, u8>,
     names: Names,
     timers: Timers<Due>,
     stall: Stall,
@@ -110,6 +112,7 @@
             by_name: BTreeMap::new(),
             lines: BTreeMap::new(),
             owed: VecDeque::new(),
+            early_rungs: BTreeMap::new(),
             names: Names::new(told.names, told.last),
             timers: Timers::default(),
             stall: Stall::default(),
--- a/crates/node/src/core/servers.rs
+++ b/crates/node/src/core/servers.rs
@@ -330,7 +330,7 @@
                 let here =
                     |s: &super::Session| matches!(s.stage, Stage::Stands { server: at, .. } if at == server);
                 if self.sess.get(&SessId(id)).is_none_or(|s| !here(s)) {
-                    return;
+                    return self.early_note(SessId(id), note, figure, now);
                 }
                 match note {
                     Note::Share => self.desk.share_heard(server, figure, now),
@@ -343,6 +343,15 @@
         }
     }
 
+    /// A rung told of a session that is not known: when a node starts, it may be handed over next.
+    fn early_note(&mut self, id: SessId, note: Note, figure: f64, now: Ms) {
+        let early =
+            now - self.desk.front.born < limits::EARLY && self.early_rungs.len() < limits::EARLY_RUNGS;
+        if note == Note::Rung && early && !self.sess.contains_key(&id) {
+            self.early_rungs.insert(id, figure.clamp(0.0, 255.0) as u8);
+        }
+    }
+
     /// A report's figures, in the order that the settings name them.
     fn reported(&mut self, server: ServerId, report: &Report, now: Ms) {
         if !report.is_empty() {
--- a/crates/node/src/core/viewers.rs
+++ b/crates/node/src/core/viewers.rs
@@ -140,6 +140,9 @@
             self.handed_over(conn, id, server, request, now);
             return Ok(());
         }
+        if w.limit > limits::WAIT_SHARE * self.told.longest_wait {
+            return Err(("time", 400));
+        }
         if self.sess.contains_key(&id) {
             return Err(("id of another request", 400));
         }
@@ -182,6 +185,9 @@
         let stage = Stage::Stands { from: Some(conn), server };
         self.sess.insert(id, Session { stage, setups: 0, until: now });
         self.desk.under_way(id, request, server, now);
+        if let Some(rung) = self.early_rungs.remove(&id) {
+            self.desk.rung_told(id, rung);
+        }
         self.keep_up(server, now);
     }
 
--- a/crates/node/src/edge/hub.rs
+++ b/crates/node/src/edge/hub.rs
@@ -89,6 +89,7 @@
             News::Connected(conn) => self.node.connected(conn, now),
             News::Bytes { conn, at, bytes } => {
                 if self.open.contains_key(&conn) {
+                    tracing::trace!(target: "walnutline::bytes", conn = conn.0, "in {}", bytes.escape_ascii());
                     self.node.bytes(conn, &bytes, at, now);
                 }
             }
@@ -141,6 +142,7 @@
 
     fn write(&mut self, conn: ConnId, bytes: &[u8]) {
         let Some(open) = self.open.get_mut(&conn) else { return };
+        tracing::trace!(target: "walnutline::bytes", conn = conn.0, "out {}", bytes.escape_ascii());
         let taken = if open.backlog.is_empty() { open.socket.write(bytes) } else { Ok(0) };
         match taken {
             Ok(n) if n == bytes.len() => {}
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -9,6 +9,11 @@
 pub const VIEWER_IDLE: Ms = 12_000.0;
 /// Set-ups open on one viewer's connection. More is a flood: each of them would be placed, and cost a server work.
 pub const OPEN_SETUPS: usize = 128;
+/// Longest wait taken from a viewer, by the longest of any class. More is no wait that anyone means.
+pub const WAIT_SHARE: f64 = 10.0;
+/// Rungs told of sessions that are not handed over yet: so many of them, and only so long after the start.
+pub const EARLY_RUNGS: usize = 4_096;
+pub const EARLY: Ms = 10_000.0;
 /// Connections to one server at once. A connection that breaks takes all set-ups on it along; each set-up has its
 /// own as far as this goes.
 pub const LINES: usize = 4;
--- a/crates/platform/src/fields.rs
+++ b/crates/platform/src/fields.rs
@@ -16,8 +16,9 @@
 pub const WITHDRAWN: u32 = 31;
 pub const CUT: u32 = 41;
 
-/// Longest wait that is taken from a viewer, in milliseconds: an hour. More is no wait that anyone means.
-const LONGEST_WAIT: f64 = 3_600_000.0;
+/// Longest wait that is read, in milliseconds. Sessions that are handed over tell one of 71 minutes, which means
+/// nothing; what a viewer may mean is for the node to judge.
+const LONGEST_WAIT: f64 = u32::MAX as f64;
 
 /// Where a session may go, and its viewer's figures: `home:4;copies:3;top:4;viewer:00000000b4d65521`.
 #[derive(Debug, Clone, Default, PartialEq)]
