--- a/crates/node/src/core/servers.rs
+++ b/crates/node/src/core/servers.rs
@@ -218,7 +218,7 @@
     }
 
     /// A message on a session that stands, on any connection to its server.
-    pub(super) fn to_server(&mut self, server: ServerId, id: SessId, bytes: Vec<u8>, now: Ms) {
+    pub(super) fn tell_server(&mut self, server: ServerId, id: SessId, bytes: Vec<u8>, now: Ms) {
         let Some(s) = self.servers.get_mut(&server) else { return };
         let up = s.lines.iter().find(|c| self.lines.get(c).is_some_and(|l| l.up));
         match up {
@@ -233,7 +233,7 @@
     pub(super) fn rung(&mut self, id: SessId, rung: u8) {
         let Some(Stage::Stands { server, .. }) = self.sess.get(&id).map(|s| &s.stage) else { return };
         let (server, now) = (*server, self.clock);
-        self.to_server(server, id, server::rung(id.0, rung), now);
+        self.tell_server(server, id, server::rung(id.0, rung), now);
     }
 
     pub(super) fn probe(&mut self, server: ServerId, now: Ms) {
@@ -269,12 +269,12 @@
         let server = line.server;
         match line.tests.remove(&id) {
             Some(Test::Probe) => self.desk.probed(server, Ending::TimedOut, now),
-            Some(Test::There) => {
-                if self.servers.get(&server).is_some_and(|s| now - s.heard > limits::TEST_AFTER) {
-                    self.connect(server, now);
-                }
+            Some(Test::There)
+                if self.servers.get(&server).is_some_and(|s| now - s.heard > limits::TEST_AFTER) =>
+            {
+                self.connect(server, now);
             }
-            None => {}
+            _ => {}
         }
     }
 
--- a/crates/node/src/core/viewers.rs
+++ b/crates/node/src/core/viewers.rs
@@ -215,7 +215,7 @@
             }
             Some(Stage::Stands { server, .. }) => {
                 let server = *server;
-                self.to_server(server, sess, server::release(id, fields::WITHDRAWN), now);
+                self.tell_server(server, sess, server::release(id, fields::WITHDRAWN), now);
                 self.over(sess, Ending::Withdrawn, None, now);
                 200
             }
--- a/crates/node/src/edge/socket.rs
+++ b/crates/node/src/edge/socket.rs
@@ -49,7 +49,7 @@
     }
 
     pub fn shut(&self) {
-        let _ = (&self.stream).shutdown(Shutdown::Both);
+        let _ = self.stream.shutdown(Shutdown::Both);
     }
 }
 
@@ -193,19 +193,21 @@
 }
 
 fn opened(socket: &Socket, opening: bool) -> io::Result<()> {
-    while opening {
-        if let Some(e) = (&socket.stream).take_error()? {
+    if !opening {
+        return Ok(());
+    }
+    loop {
+        if let Some(e) = socket.stream.take_error()? {
             return Err(e);
         }
-        match (&socket.stream).peer_addr() {
-            Ok(_) => break,
+        match socket.stream.peer_addr() {
+            Ok(_) => return Ok(()),
             Err(e) if e.kind() == ErrorKind::NotConnected => {
                 socket.io.wait_io();
             }
             Err(e) => return Err(e),
         }
     }
-    Ok(())
 }
 
 fn read(conn: ConnId, socket: &Socket, clock: Clock, hub: &Sender<News>) {
@@ -261,7 +263,7 @@
         for n in 0..ROUNDS {
             let conn = ConnId(n as u64);
             let socket = connect(conn, address, clock, &hub).unwrap();
-            let mut heard = |what: &str| loop {
+            let heard = |what: &str| loop {
                 match news.recv_timeout(Duration::from_secs(5)) {
                     Ok(News::Connected(c)) if c == conn && what == "open" => return,
                     Ok(News::Bytes { conn: c, .. }) if c == conn && what == "bytes" => return,
