--- /dev/null
+++ b/crates/node/tests/core.rs
@@ -0,0 +1,390 @@
+//! The core of a node without sockets.
+mod support;
+
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use support::{release, reply, wanted, World, NODE};
+use test_case::test_case;
+use walnutline_node::exchange::{ConnId, End};
+use walnutline_node::limits;
+
+#[test]
+fn a_session_from_set_up_to_release() {
+    let mut w = World::new();
+    let viewer = w.viewer();
+    w.says(viewer, &wanted(1, "a=1\r\n"));
+    let (server, setup) = w.setup_of(1);
+    assert!(setup.contains("Rate-Step: ") && setup.ends_with("\r\n\r\na=1\r\n"), "{setup}");
+    w.says(server, &reply(200, 1, "b=2\r\n"));
+    assert_eq!(w.find("b=2").unwrap().0, viewer);
+    w.says(server, &release(1, 16));
+    let (conn, told) = w.find("cause=16").unwrap();
+    assert!(
+        conn == viewer && told.starts_with("TEARDOWN") && told.contains("Session: 0000000000000001"),
+        "{told}"
+    );
+    // Told again, as servers do on the next connection: nothing more.
+    w.says(server, &release(1, 16));
+    assert_eq!(w.find("cause=16"), None);
+}
+
+/// Guards against handed-over sessions refused for the wait they tell, and their rungs lost: both were seen.
+#[test]
+fn a_session_handed_over_is_held_with_its_rung_and_released() {
+    let mut w = World::new();
+    let server = *w.servers.iter().next().unwrap().0;
+    let note =
+        "ANNOUNCE rtsp://media/x RTSP/1.0\r\nCSeq: 4\r\nSession: 0000000000000009\r\nX-Why: profile\r\n\
+                Figure: 3\r\nContent-Length: 0\r\n\r\n";
+    w.says(server, note);
+    let viewer = w.viewer();
+    let at = wanted(9, "").replace("1500", "4294967").replace("top:4;", "top:4;at:s-00000001;");
+    w.says(viewer, &at);
+    assert_eq!(w.find("RTSP/1.0 4"), None, "no answer is wanted");
+    let held: Vec<(u8, bool)> = w.node.desk.hand.sess.values().map(|s| (s.rung, s.playing)).collect();
+    assert_eq!(held, [(3, true)]);
+    w.says(server, &release(9, 16));
+    assert_eq!(w.find("cause=16").unwrap().0, viewer);
+}
+
+#[test_case("X-Call-Class: board-loop", "X-Call-Class: nobody" ; "class")]
+#[test_case("home:0", "home:12" ; "home out of range")]
+#[test_case("copies:2", "copies:0" ; "no copies")]
+#[test_case("top:4", "top:5" ; "rung out of range")]
+#[test_case("X-Ring-Limit: 1500", "X-Ring-Limit: 99999999" ; "a wait that nobody means")]
+fn what_cannot_be_taken_is_refused_and_the_connection_goes_on(from: &str, to: &str) {
+    let mut w = World::new();
+    let viewer = w.viewer();
+    w.says(viewer, &wanted(1, "").replace(from, to));
+    let (_, refused) = w.find("RTSP/1.0 400").unwrap();
+    assert!(refused.contains("Session: 0000000000000001"), "{refused}");
+    w.says(viewer, &wanted(2, ""));
+    w.setup_of(2);
+    assert!(w.closed.is_empty());
+}
+
+/// The id of an open request with another description: the open one is neither answered nor disturbed.
+#[test]
+fn an_id_that_is_open_is_refused_without_its_id() {
+    let mut w = World::new();
+    let (good, bad) = (w.viewer(), w.viewer());
+    w.says(good, &wanted(1, "a=1\r\n"));
+    w.says(bad, &wanted(1, "a=2\r\n"));
+    let (conn, refused) = w.find("RTSP/1.0 400").unwrap();
+    assert!(conn == bad && !refused.contains("Session"), "{refused}");
+    w.says(bad, "TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: 0000000000000001\r\nContent-Length: 0\r\n\r\n");
+    assert_eq!(w.find("RTSP/1.0 454").unwrap().0, bad);
+    let (server, setup) = w.setup_of(1);
+    assert!(setup.ends_with("a=1\r\n"));
+    w.says(server, &reply(200, 1, "b=2\r\n"));
+    assert_eq!(w.find("b=2").unwrap().0, good);
+}
+
+#[test]
+fn a_flood_on_one_connection_is_turned_away_beyond_its_limit() {
+    let mut w = World::new();
+    let viewer = w.viewer();
+    let flood: String = (1..=limits::OPEN_SETUPS as u64 + 5).map(|id| wanted(id, "")).collect();
+    w.says(viewer, &flood);
+    let turned_away = w.out.iter().filter(|(c, t)| *c == viewer && t.starts_with("RTSP/1.0 503")).count();
+    assert_eq!(turned_away, 5);
+}
+
+/// A SETUP that timed out is given up before the next is written, and what comes of it late is released.
+#[test]
+fn a_late_good_answer_is_released_at_once() {
+    let mut w = World::new();
+    let viewer = w.viewer();
+    w.says(viewer, &wanted(1, ""));
+    let (first, _) = w.setup_of(1);
+    let (second, _) = w.setup_of(1);
+    let given_up = w.out.iter().position(|(c, t)| *c == first && t.starts_with("TEARDOWN"));
+    assert!(given_up.is_some(), "{:?}", w.out);
+    w.out.clear();
+    w.says(first, &reply(200, 1, "late\r\n"));
+    assert_eq!(w.find("late"), None);
+    assert_eq!(w.find("cause=31").unwrap().0, first);
+    w.says(second, &reply(200, 1, "good\r\n"));
+    assert_eq!(w.find("good").unwrap().0, viewer);
+    assert_eq!(w.find("cause="), None);
+}
+
+#[test_case("RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 0000000000000001\r\nContent-Length: 2\r\n\r\nb=2\r\n" ; "length too short")]
+#[test_case("\u{7f}\u{3}noise\r\n\r\n" ; "noise")]
+#[test_case("RTSP/1.0 200 OK\r\nCSeq: 1\r\nContent-Length: 3000000000\r\n\r\nb=2" ; "claims 3 GB")]
+fn a_spoilt_answer_is_not_passed_on_and_another_server_is_asked(spoilt: &str) {
+    let mut w = World::new();
+    let viewer = w.viewer();
+    w.says(viewer, &wanted(1, ""));
+    let (first, _) = w.setup_of(1);
+    let address = w.servers[&first];
+    w.says(first, spoilt);
+    assert!(w.closed.contains(&first));
+    assert_eq!(w.find("b=2"), None);
+    let (second, _) = w.setup_of(1);
+    assert_ne!(w.servers[&second], address);
+    w.says(second, &reply(200, 1, "good\r\n"));
+    assert_eq!(w.find("good").unwrap().0, viewer);
+}
+
+#[test]
+fn answers_under_ids_that_are_not_open_change_nothing() {
+    let mut w = World::new();
+    let (_, server) = w.standing(1);
+    w.out.clear();
+    for id in [1, 77] {
+        w.says(server, &reply(200, id, "again\r\n"));
+        w.says(server, &reply(500, id, ""));
+    }
+    assert_eq!(w.find("again"), None);
+    w.says(server, &release(1, 16));
+    assert!(w.find("cause=16").is_some());
+}
+
+/// A process that dies: its connections are reset, and nobody listens at its address.
+#[test]
+fn sessions_of_a_dead_process_are_released_at_once_and_those_of_a_reset_connection_stand() {
+    let mut w = World::new();
+    let (viewer, server) = w.standing(1);
+    w.open_at_once = false;
+    w.ends(server, End::Closed);
+    assert_eq!(w.find("cause="), None, "a reset connection proves no death");
+    let again = w.connecting.pop().expect("a connection where its releases can come");
+    w.node.connected(again, w.now);
+    w.run();
+    w.ends(again, End::Closed);
+    let refused = w.connecting.pop().unwrap();
+    w.ends(refused, End::Refused);
+    assert_eq!(w.find("cause=41").unwrap().0, viewer);
+}
+
+#[test]
+fn sessions_of_a_silent_machine_are_released_within_8_s() {
+    let mut w = World::new();
+    let (_, server) = w.standing(1);
+    let address = w.servers[&server];
+    w.open_at_once = false;
+    for _ in 0..80 {
+        w.pass(100.0);
+        // Every other server answers what it is asked.
+        let asked = std::mem::take(&mut w.out);
+        for (conn, text) in asked {
+            if text.contains("cause=41") {
+                return;
+            }
+            if text.starts_with("OPTIONS") && w.servers.get(&conn).is_some_and(|a| *a != address) {
+                let id = text.lines().find(|l| l.starts_with("Session")).unwrap();
+                w.says(conn, &format!("RTSP/1.0 200 OK\r\nCSeq: 3\r\n{id}\r\nContent-Length: 0\r\n\r\n"));
+            }
+        }
+    }
+    panic!("still held");
+}
+
+#[test]
+fn a_release_waits_for_a_connection_that_brings_a_set_up() {
+    let mut w = World::new();
+    let (viewer, server) = w.standing(1);
+    w.ends(viewer, End::Closed);
+    w.says(server, &release(1, 16));
+    assert_eq!(w.find("cause=16"), None);
+    let silent = w.viewer();
+    let next = w.viewer();
+    w.says(next, &wanted(2, ""));
+    assert_eq!(w.find("cause=16").unwrap().0, next);
+    assert_ne!(silent, next);
+}
+
+#[test]
+fn silent_and_half_said_connections_are_closed_within_3_s() {
+    let mut w = World::new();
+    let (silent, half, good) = (w.viewer(), w.viewer(), w.viewer());
+    w.says(half, "SETUP rtsp://media/");
+    w.says(good, &wanted(1, ""));
+    w.pass(2_600.0);
+    assert!(w.closed.contains(&silent) && w.closed.contains(&half) && !w.closed.contains(&good));
+}
+
+/// Room for a new viewer is made by the one that can best be done without.
+#[test]
+fn with_all_places_taken_the_silent_go_first() {
+    let mut w = World::new();
+    let good = w.viewer();
+    w.says(good, &wanted(1, ""));
+    for _ in 1..w.node.most_viewers() {
+        w.viewer();
+    }
+    assert!(w.closed.is_empty());
+    w.viewer();
+    assert_eq!(w.closed.len(), 1);
+    assert_ne!(w.closed[0], good);
+}
+
+#[test]
+fn told_to_stop_it_answers_what_still_comes_and_ends() {
+    let mut w = World::new();
+    w.node.stop(w.now);
+    w.pass(500.0);
+    let viewer = w.viewer();
+    w.says(viewer, &wanted(1, ""));
+    let (server, _) = w.setup_of(1);
+    w.node.stop(w.now);
+    w.pass(250.0);
+    assert!(!w.exited, "an answer is owed");
+    w.says(server, &reply(200, 1, "good\r\n"));
+    assert!(w.find("good").is_some());
+    w.says(server, &release(1, 16));
+    w.pass(500.0);
+    assert!(w.exited);
+}
+
+fn list(w: &World, serial: u32, line: Option<(&'static str, [u8; 4], u16)>) -> Vec<u8> {
+    use simple_dns::rdata::{RData, A, SOA, SRV, TXT};
+    use simple_dns::{Name, Packet, ResourceRecord, CLASS};
+    let asked = &w.queries.last().unwrap().1;
+    let mut p = Packet::new_reply(u16::from_be_bytes([asked[0], asked[1]]));
+    let name = Name::new_unchecked;
+    let record = |n, data| ResourceRecord::new(name(n), CLASS::IN, 0, data);
+    if let Some((target, ip, port)) = line {
+        let srv = SRV { priority: 0, weight: 30, port, target: name(target) };
+        let txt = ["kind=box-3c", "cell=0", "started=0"];
+        let txt = txt.into_iter().fold(TXT::new(), |t, s| t.with_string(s).unwrap());
+        p.answers.push(record(walnutline_platform::names::LIST, RData::SRV(srv)));
+        p.additional_records.push(record(target, RData::A(A { address: u32::from_be_bytes(ip) })));
+        p.additional_records.push(record(target, RData::TXT(txt)));
+    }
+    let soa = SOA { mname: name("a"), rname: name("b"), serial, refresh: 0, retry: 0, expire: 0, minimum: 0 };
+    p.name_servers.push(record("farm.lan", RData::SOA(soa)));
+    p.build_bytes_vec_compressed().unwrap()
+}
+
+/// A new server at the address of one that has gone takes nothing over; what is gone and unused is forgotten.
+#[test]
+fn the_list_is_followed_by_number_and_ids_are_not_addresses() {
+    let mut w = World::new();
+    let (viewer, server) = w.standing(1);
+    let here = w.servers[&server];
+    let std::net::IpAddr::V4(ip) = here.ip() else { panic!("{here}") };
+    w.pass(limits::POLL);
+    let names = w.queries.last().unwrap().0;
+    let old = list(&w, 2, None);
+    w.node.datagram(names, &old, w.now);
+    w.run();
+    assert_eq!(w.node.desk.front.fleet.servers.len(), 2, "an older list");
+    w.pass(limits::POLL);
+    let new = list(&w, 9, Some(("s-0000000a.depot-a.hosts", ip.octets(), here.port())));
+    w.node.datagram("127.0.0.9:53".parse().unwrap(), &new, w.now);
+    assert_eq!(w.node.desk.front.fleet.servers.len(), 2, "from elsewhere");
+    w.node.datagram(names, &new, w.now);
+    w.run();
+    assert_eq!(w.find("cause="), None, "the old process still has its connections");
+    w.ends(server, End::Closed);
+    w.pass(limits::SWEEP * 2.0);
+    while let Some(conn) = w.servers.keys().next().copied().filter(|c| c.0 <= server.0) {
+        w.ends(conn, End::Closed);
+    }
+    w.pass(limits::SWEEP * 2.0);
+    assert_eq!(w.find("cause=41").unwrap().0, viewer);
+    assert_eq!(w.node.desk.front.fleet.servers.len(), 1, "those gone are forgotten");
+}
+
+#[test]
+fn a_new_configuration_names_another_name_service() {
+    let mut w = World::new();
+    let told = NODE.replace("127.0.0.1:1053", "127.0.0.2:1054");
+    w.node.configured(walnutline_platform::configuration::read(&told).unwrap(), w.now);
+    w.run();
+    assert_eq!(w.queries.last().unwrap().0, "127.0.0.2:1054".parse().unwrap());
+}
+
+/// What the property below saw of one session.
+#[derive(Default)]
+struct Seen {
+    answers: u32,
+    releases: u32,
+    out_at: Option<ConnId>,
+    came: f64,
+}
+
+fn account(w: &mut World, seen: &mut BTreeMap<u64, Seen>) -> Result<(), TestCaseError> {
+    for (conn, text) in std::mem::take(&mut w.out) {
+        let Some(id) = text.lines().find_map(|l| l.strip_prefix("Session: ")) else { continue };
+        let Some(s) = seen.get_mut(&u64::from_str_radix(id, 16).unwrap()) else { continue };
+        let to_server = w.servers.contains_key(&conn);
+        if text.starts_with("SETUP") {
+            prop_assert!(s.out_at.is_none(), "two SETUPs out");
+            s.out_at = Some(conn);
+        } else if text.starts_with("TEARDOWN") && to_server {
+            s.out_at = s.out_at.filter(|c| *c != conn);
+        } else if text.starts_with("TEARDOWN") {
+            s.releases += 1;
+            prop_assert!(s.releases <= 1, "released twice");
+        } else if !to_server && text.contains("CSeq: 1") {
+            s.answers += 1;
+            prop_assert!(s.answers == 1, "answered {} times", s.answers);
+            prop_assert!(w.now - s.came <= 1_500.0 + 40.0, "answered late");
+        }
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Viewers, servers and time do anything in any order: no request is answered twice or late, none has two
+    /// SETUPs out, no session is released twice, and in the end nothing is owed.
+    #[test]
+    fn anything_in_any_order(steps in prop::collection::vec((0u8..9, any::<prop::sample::Index>()), 1..60)) {
+        let mut w = World::new();
+        let viewer = w.viewer();
+        let mut seen: BTreeMap<u64, Seen> = BTreeMap::new();
+        for (step, which) in steps {
+            let out: Vec<(u64, ConnId)> = seen.iter().filter_map(|(id, s)| Some((*id, s.out_at?))).collect();
+            let any_out = (!out.is_empty()).then(|| *which.get(&out));
+            let any_id = (!seen.is_empty()).then(|| *which.get(&seen.keys().copied().collect::<Vec<_>>()));
+            match (step, any_out, any_id) {
+                (0 | 1, ..) => {
+                    let id = seen.len() as u64 + 1;
+                    seen.insert(id, Seen { came: w.now, ..Seen::default() });
+                    w.says(viewer, &wanted(id, ""));
+                }
+                (2 | 3, Some((id, conn)), _) => {
+                    let status = [200, 200, 453, 500, 454, 504][which.index(6)];
+                    seen.get_mut(&id).unwrap().out_at = None;
+                    w.says(conn, &reply(status, id, "x"));
+                }
+                (4, Some((_, conn)), _) => {
+                    seen.values_mut().filter(|s| s.out_at == Some(conn)).for_each(|s| s.out_at = None);
+                    w.ends(conn, End::Closed);
+                }
+                (5, _, Some(id)) => {
+                    let conns: Vec<ConnId> = w.servers.keys().copied().collect();
+                    if !conns.is_empty() {
+                        let conn = *which.get(&conns);
+                        let s = seen.get_mut(&id).unwrap();
+                        // Before its answer, a release says that the SETUP broke.
+                        s.out_at = s.out_at.filter(|c| *c != conn);
+                        w.says(conn, &release(id, 16));
+                    }
+                }
+                (6, _, Some(id)) => {
+                    let up = format!("TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: {id:016x}\r\nContent-Length: 0\r\n\r\n");
+                    w.says(viewer, &up);
+                }
+                _ => {
+                    for _ in 0..which.index(40) {
+                        w.pass(10.0);
+                        account(&mut w, &mut seen)?;
+                    }
+                }
+            }
+            account(&mut w, &mut seen)?;
+        }
+        for _ in 0..200 {
+            w.pass(10.0);
+            account(&mut w, &mut seen)?;
+        }
+        let owed = w.node.desk.hand.sess.values().filter(|s| !s.answered).count();
+        prop_assert_eq!(owed, 0);
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/codecs.rs
@@ -0,0 +1,203 @@
+//! Codecs: what was written is read again, whatever else comes is refused within bounds.
+use proptest::prelude::*;
+use simple_dns::rdata::{RData, A, SOA, SRV, TXT};
+use simple_dns::{Name, Packet, PacketFlag, Question, ResourceRecord, CLASS, QCLASS, QTYPE, RCODE, TYPE};
+use test_case::test_case;
+use walnutline::terms::Terms;
+use walnutline_platform::frame::{Bad, Reader, LONGEST};
+use walnutline_platform::names::{self, Bad as BadNames};
+use walnutline_platform::server::{self, FromServer};
+use walnutline_platform::viewer::{self, FromViewer};
+use walnutline_platform::{configuration, fields};
+
+const NODE: &str = include_str!("node.json");
+
+fn setup(id: &str, fields: &str, body: &str) -> Vec<u8> {
+    let head = "SETUP rtsp://media/7f3a9c21e0b4d655 RTSP/1.0\r\nCSeq: 1\r\nX-Call-Class: paid\r\n";
+    format!("{head}Session: {id}\r\n{fields}Content-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
+
+const GOOD: &str = "X-Ring-Limit: 1500\r\nX-Dest: home:4;copies:3;top:4;viewer:00000000b4d65521\r\n";
+
+fn all(bytes: &[u8], piece: usize) -> Result<Vec<FromViewer>, String> {
+    let (mut reader, mut said) = (Reader::default(), Vec::new());
+    for piece in bytes.chunks(piece) {
+        reader.push(piece);
+        while let Some(m) = reader.next_message().map_err(|b| b.to_string())? {
+            said.push(viewer::read(m).map_err(|f| f.why)?);
+        }
+    }
+    Ok(said)
+}
+
+proptest! {
+    /// Any bytes in any pieces: no panic, and never more held than one message and a piece.
+    #[test]
+    fn rubbish_is_bounded(bytes in prop::collection::vec(any::<u8>(), 0..600), piece in 1usize..90) {
+        let _ = all(&bytes, piece);
+        let _ = names::read(&bytes, 7);
+    }
+
+    /// A good message with a byte changed is read or refused.
+    #[test]
+    fn nearly_right_is_no_panic(at in any::<prop::sample::Index>(), to in any::<u8>(), piece in 1usize..90) {
+        let mut bytes = setup("9b1f03aa5c7e2d41", GOOD, "c=IN IP4 10.4.7.9\r\n");
+        let at = at.index(bytes.len());
+        bytes[at] = to;
+        let _ = all(&bytes, piece);
+    }
+
+    /// What a viewer wants goes on to a server with the same id, title and description.
+    #[test]
+    fn a_set_up_goes_on_unchanged(
+        body in "[ -~\r\n]{0,200}", id in any::<u64>(), title in any::<u64>(), piece in 1usize..90, rung in 0u8..9,
+    ) {
+        let text = String::from_utf8(setup(&format!("{id:016x}"), GOOD, &body)).unwrap();
+        let text = text.replace("7f3a9c21e0b4d655", &format!("{title:016x}"));
+        let said = all(text.as_bytes(), piece).unwrap();
+        let [FromViewer::Setup(wanted)] = &said[..] else { panic!("{said:?}") };
+        let on = server::setup(wanted, rung, 152.9);
+        let on = String::from_utf8(on).unwrap();
+        let (head, rest) = on.split_once("\r\n\r\n").unwrap();
+        prop_assert_eq!(rest, &body);
+        prop_assert!(head.starts_with(&format!("SETUP rtsp://media/{title:016x} RTSP/1.0\r\n")), "{}", head);
+        for line in [format!("Session: {id:016x}"), format!("Rate-Step: {rung}"), "X-Ring-Limit: 152".into(),
+            "X-Call-Class: paid".into(), "CSeq: 1".into()] {
+            prop_assert!(head.lines().any(|l| l == line), "{} not in {}", line, head);
+        }
+    }
+
+    /// An answer's description is passed on byte for byte, whatever bytes it has.
+    #[test]
+    fn a_description_is_passed_on(body in prop::collection::vec(any::<u8>(), 0..300), id in any::<u64>()) {
+        let mut reader = Reader::default();
+        reader.push(&viewer::plays(id, &body));
+        let said = server::read(reader.next_message().unwrap().unwrap());
+        prop_assert_eq!(said, FromServer::Setup { id, status: 200, description: body, report: vec![] });
+    }
+}
+
+#[test_case(b"\x00\x01\x02 rubbish" => Some(Bad::Unreadable); "rubbish")]
+#[test_case(b"SETUP rtsp://media/0 RTSP/1.0\r\nContent-Length: -5\r\n\r\n" => Some(Bad::Length); "negative")]
+#[test_case(b"RTSP/1.0 200 OK\r\nContent-Length: 3000000000\r\n\r\nxx" => Some(Bad::TooLong); "3 GB")]
+#[test_case(b"RTSP/1.0 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n" => Some(Bad::Length); "huge")]
+#[test_case(b"RTSP/1.0 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx" => Some(Bad::Length); "two lengths")]
+#[test_case(b"RTSP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nc=IN IP4" => Some(Bad::Trailing); "length too short")]
+#[test_case(b"RTSP/1.0 200 OK\r\nContent-Length: 9\r\n\r\nc=IN" => None; "not whole")]
+fn what_is_wrong_is_told_at_once(bytes: &[u8]) -> Option<Bad> {
+    let mut reader = Reader::default();
+    reader.push(bytes);
+    reader.next_message().err()
+}
+
+#[test]
+fn an_endless_line_is_cut_off() {
+    let mut reader = Reader::default();
+    reader.push(b"SETUP rtsp://media/");
+    let ended = (0..LONGEST / 64 + 1).find_map(|_| {
+        reader.push(&[b'a'; 64]);
+        reader.next_message().err()
+    });
+    assert_eq!(ended, Some(Bad::TooLong));
+}
+
+#[test_case("9b1f03aa5c7e2d41", GOOD => None; "good")]
+#[test_case("9b1f", GOOD => Some("Session: missing or no id".into()); "short id")]
+#[test_case("9b1f03aa5c7e2d41", "X-Ring-Limit: NaN\r\nX-Dest: home:4;copies:3;top:4\r\n" => Some("X-Ring-Limit: not a time".into()); "no number")]
+#[test_case("9b1f03aa5c7e2d41", "X-Ring-Limit: 1e300\r\nX-Dest: home:4;copies:3;top:4\r\n" => Some("X-Ring-Limit: not a time".into()); "huge wait")]
+#[test_case("9b1f03aa5c7e2d41", "X-Ring-Limit: 900\r\nX-Dest: home:-4;copies:3;top:4\r\n" => Some("X-Dest: home: not a number in range".into()); "negative home")]
+#[test_case("9b1f03aa5c7e2d41", "X-Ring-Limit: 900\r\nX-Dest: home:4;top:4\r\n" => Some("X-Dest: copies: missing".into()); "no copies")]
+fn a_set_up_that_cannot_be_taken_says_why(id: &str, fields: &str) -> Option<String> {
+    all(&setup(id, fields, ""), 4_096).err()
+}
+
+#[test]
+fn reports_and_causes() {
+    assert_eq!(
+        fields::circuits("x0:0.8; inflight:nan;queue:3;x"),
+        [("x0".into(), 0.8), ("queue".into(), 3.0)]
+    );
+    assert_eq!((fields::cause("cause=16"), fields::cause("cause=x")), (Some(16), None));
+}
+
+fn answer(id: u16, change: fn(&mut Packet<'static>)) -> Vec<u8> {
+    let mut p = Packet::new_reply(id);
+    let name = |n: &'static str| Name::new_unchecked(n);
+    let record = |n: &'static str, data| ResourceRecord::new(name(n), CLASS::IN, 0, data);
+    p.questions.push(Question::new(
+        name(names::LIST),
+        QTYPE::TYPE(TYPE::SRV),
+        QCLASS::CLASS(CLASS::IN),
+        false,
+    ));
+    let target = "s-00c41f7a.east.hosts";
+    let srv = SRV { priority: 1, weight: 45, port: 5060, target: name(target) };
+    p.answers.push(record(names::LIST, RData::SRV(srv)));
+    let soa =
+        SOA { mname: name("a"), rname: name("b"), serial: 41, refresh: 0, retry: 0, expire: 0, minimum: 0 };
+    p.name_servers.push(record("farm.lan", RData::SOA(soa)));
+    let txt = ["kind=std", "cell=2", "started=1700000000000"];
+    let txt = txt.into_iter().fold(TXT::new(), |t, s| t.with_string(s).unwrap());
+    p.additional_records.push(record(target, RData::A(A { address: 0x0a01_0009 })));
+    p.additional_records.push(record(target, RData::TXT(txt)));
+    change(&mut p);
+    p.build_bytes_vec_compressed().unwrap()
+}
+
+#[test_case(|_| {} => Ok((41, 1)); "good")]
+#[test_case(|p| p.set_id(8) => Err(BadNames::Other); "another id")]
+#[test_case(|p| *p.rcode_mut() = RCODE::ServerFailure => Err(BadNames::Failed); "a failure")]
+#[test_case(|p| p.set_flags(PacketFlag::TRUNCATION) => Err(BadNames::Failed); "cut short and said so")]
+#[test_case(|p| p.questions[0].qname = Name::new_unchecked("other.lan") => Err(BadNames::Other); "another question")]
+#[test_case(|p| p.name_servers.clear() => Err(BadNames::Incomplete); "no number")]
+#[test_case(|p| p.additional_records.clear() => Err(BadNames::Incomplete); "no address")]
+fn answers_of_the_name_service(change: fn(&mut Packet<'static>)) -> Result<(u32, usize), BadNames> {
+    names::read(&answer(7, change), 7).map(|a| (a.serial, a.servers.len()))
+}
+
+#[test]
+fn a_server_of_the_list_is_read_whole_and_a_cut_answer_is_not() {
+    let bytes = answer(7, |_| {});
+    let server = names::read(&bytes, 7).unwrap().servers.remove(0);
+    assert_eq!(
+        (server.name.as_str(), server.zone.as_str(), server.kind.as_str()),
+        ("s-00c41f7a", "east", "std")
+    );
+    assert_eq!((server.address, server.cell), ("10.1.0.9:5060".parse().unwrap(), 2));
+    assert_eq!((server.draining, server.weight, server.started), (true, 4.5, Some(1.7e12)));
+    for n in 0..bytes.len() {
+        assert!(names::read(&bytes[..n], 7).is_err(), "cut at {n}");
+    }
+}
+
+/// The settings of the document give the same terms as the lines that the simulator tells.
+#[test]
+fn settings_are_the_simulators_terms() {
+    let told = configuration::read(NODE).unwrap();
+    let lines = "balancers=2\nclasses.count=2\nclasses.0.aim=800.0\nclasses.0.group=all\n\
+        classes.0.name=board-loop\nclasses.0.repeat=repeatable\nclasses.0.window=5000.0\nclasses.0.worth=1.0\n\
+        classes.1.aim=1000.0\nclasses.1.group=all\nclasses.1.repeat=repeatable\nclasses.1.window=5000.0\n\
+        classes.1.worth=3.0\nfamily_info.class_floor=0,0\nfamily_info.class_scale=1.0,1.2\n\
+        family_info.highest_rung=4,4\nfamily_info.kind_streams=35,24\n\
+        family_info.level_kb=190.0,334.0,589.0,1036.0,1824.0\nfamily_info.level_worth=0.22,0.44,0.64,0.82,1.0\n\
+        family_info.licence_cap=0,0\nfamily_info.link_unit_kb=3037.0\nfamily_info.places=12\n\
+        family_info.racks=2\nfamily_info.see=778.493\nfamily_info.uplink_kb=48379.0\nlimits.attempts_cap=3\n\
+        limits.max_retry_after=1000.0\nlimits.probes=true\nlimits.retry_after=true\n\
+        reporting.columns=inflight,x0\nreporting.via=pull\nsafety.cold=12000.0\nsafety.cold_from=0.4\n\
+        safety.tip_after=1000.0\nsafety.tip_multiple=2.0\n";
+    let terms = |text: &str| format!("{:?}", Terms::parse(text).unwrap());
+    assert_eq!(terms(&told.terms), terms(lines));
+    assert_eq!(
+        told.servers.iter().map(|s| s.name.as_str()).collect::<Vec<_>>(),
+        ["s-00000001", "s-00000002"]
+    );
+    assert_eq!((told.last, told.sockets, told.cells, told.rungs), (3, 256, 12, 5));
+    assert_eq!((told.connect_within, told.idle, told.longest_wait), (250.0, 30_000.0, 3_000.0));
+}
+
+#[test_case("\"seed\":\"8c1f30d27a5be964\"", "\"seed\":\"x\"" => "seed: not a number in hex digits"; "seed")]
+#[test_case("\"places\":12,", "" => "settings/family_info/places: missing or no number"; "places")]
+#[test_case("\"Gone\"", "\"Lost\"" => "known: s-00000003: lifecycle \"Lost\" is not known"; "lifecycle")]
+fn faults_of_a_configuration_name_their_field(from: &str, to: &str) -> String {
+    configuration::read(&NODE.replace(from, to)).unwrap_err()
+}
