An error counts against a server once another one plays the session

Checked in a trace of the bytes: each of the 13 sessions that erred at n0 erred at three servers in turn (500 at once each), all of bad clients; no server erred for anyone else. The fault: choice.rs's after() judged the server at each error. An error is now judged once another server plays the session, or where no other may be asked. Should also guard against requests that are broken upstream; harms where all holders of a title err alike.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -74,9 +74,11 @@
     pub fn started(&mut self, hand: &mut Hand, id: SessId, now: Ms) {
         let Some(s) = hand.sess.get_mut(&id) else { return };
         (s.playing, s.answered, s.stepped) = (true, true, now);
+        let erred = std::mem::take(&mut s.erred);
         if let Some(at) = s.at {
             self.judge(at, None, now);
         }
+        erred.into_iter().for_each(|server| self.judge(server, Some(Ending::Errored), now));
     }
 
     /// A load report, its values in the order of the terms' columns.
@@ -558,13 +560,25 @@
             s.may_have_run = Some((server, s.sent));
         }
         s.tried.push(server);
-        self.judge(server, Some(ending), now);
+        // An error is the server's once another one takes the session, or where no other may be asked. Else it is
+        // the session's: one that no server can use would set aside each that is asked. Guards against viewers
+        // that ask for what is not there. Where all holders of a title err alike, none of them is set aside.
+        if ending == Ending::Errored {
+            s.erred.push(server);
+        } else {
+            self.judge(server, Some(ending), now);
+        }
+        let alone = s.erred == [server];
         if ending == Ending::BusyReplied {
             // Else the server would stay cheapest and draw every retry, whether its link, its streams or its
             // queue is full. Where it has room again at once, it is left out for a moment for nothing.
             self.fleet.servers.get_mut(&server).expect("sent there").busy_until = now + BUSY;
         }
-        self.place(hand, id, now)
+        let place = self.place(hand, id, now);
+        if alone && matches!(place, Place::BusyReply { .. } | Place::TornDown) {
+            self.judge(server, Some(Ending::Errored), now);
+        }
+        place
     }
 
     /// A server is judged by its failures in a row. `None` is a SETUP that led to play.
--- a/src/front.rs
+++ b/src/front.rs
@@ -110,6 +110,7 @@
             answered: false,
             setups: 0,
             tried: Vec::new(),
+            erred: Vec::new(),
             asked: Vec::new(),
             sent: now,
             stepped: Ms::NEG_INFINITY,
--- a/src/hand.rs
+++ b/src/hand.rs
@@ -25,6 +25,8 @@
     pub setups: u16,
     /// Servers that did not take it.
     pub tried: Vec<ServerId>,
+    /// Those of them that erred: judged once another one takes it.
+    pub erred: Vec<ServerId>,
     /// Servers that were probed for it.
     pub asked: Vec<ServerId>,
     pub sent: Ms,
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -78,6 +78,7 @@
         answered: false,
         setups: 0,
         tried: Vec::new(),
+        erred: Vec::new(),
         asked: Vec::new(),
         sent: NOW,
         stepped: Ms::NEG_INFINITY,
