Sixteen pooled stacks instead of a thousand: memory no longer grows with connections gone by

Ruled out by a probe on loopback (9 000 set-ups on one connection: no growth): sessions. The same probe with connections that come and go: 14.5 to 18.7 MB over the first 1 500, then flat. may's pool of 1 000 stacks is used in turn, each is touched once (edge/mod.rs, set_workers ... without set_pool_capacity). With 16: 6.5 to 6.7 MB, flat over 9 000 connections and 9 000 set-ups.

--- a/crates/node/src/edge/mod.rs
+++ b/crates/node/src/edge/mod.rs
@@ -19,6 +19,10 @@
 /// Stack of a coroutine, in words of 8 bytes: a piece of bytes read, and room for a few calls.
 const STACK_WORDS: usize = 0x1000;
 
+/// Stacks kept for new coroutines. They are used in turn, so that each one kept is touched sooner or later: more of
+/// them is memory that grows with the connections that come and go.
+const POOL: usize = 16;
+
 pub(crate) enum News {
     Accepted(Arc<socket::Socket>),
     Connected(ConnId),
@@ -62,7 +66,7 @@
 /// Runs a node until it is told to stop and owes nothing any more.
 pub fn run(start: &Start) -> Result<(), String> {
     let clock = Clock::start();
-    may::config().set_workers(1).set_stack_size(STACK_WORDS);
+    may::config().set_workers(1).set_stack_size(STACK_WORDS).set_pool_capacity(POOL);
     let told = load(start)?;
     let node = Node::new(told, clock.now())?;
     let listener = socket::listen(start.listen).map_err(|e| format!("{}: {e}", start.listen))?;
