The node ends before it is killed, and connections to servers are bounded in all

It is the min now. Seen in the reports of bad clients: 349 of 384 descriptors. By limits.rs' count a roll of the servers (twice as many connections for a while) could have gone beyond; a server that has a connection gets no further one once what is kept for servers is used. What the core says to the end of a connection that could not even be begun is done at once, not at the next event (hub.rs, perform).

--- a/crates/node/src/core/care.rs
+++ b/crates/node/src/core/care.rs
@@ -122,7 +122,7 @@
     fn end_if_due(&mut self, now: Ms) {
         let Some(told) = self.stopping else { return };
         let asked = self.sess.values().any(|s| matches!(s.stage, Stage::Asked { .. }));
-        let last = limits::LAST_SESSIONS + self.told.longest_wait.max(3_000.0);
+        let last = limits::LAST_SESSIONS + self.told.longest_wait.min(limits::LONGEST_STOP);
         let done = self.sess.is_empty() && self.owed.is_empty() && now - told >= limits::LAST_REQUESTS;
         if !asked && (done || now - told >= last) {
             self.dos.push(Do::Exit);
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -75,6 +75,7 @@
     sess: BTreeMap<SessId, Session>,
     viewers: BTreeMap<ConnId, Viewer>,
     most_viewers: usize,
+    most_lines: usize,
     /// The viewer's connection that last brought a set-up that could be taken.
     last_good: Option<ConnId>,
     servers: BTreeMap<ServerId, Server>,
@@ -102,11 +103,13 @@
     pub fn new(told: Configuration, now: Ms) -> Result<Node, String> {
         let terms = Terms::parse(&told.terms).map_err(|e| format!("settings: {e}"))?;
         let servers = told.servers.clone();
+        let most_viewers = limits::viewers(told.sockets, servers.len());
         let mut node = Node {
             desk: Desk::new(terms, told.seed, now),
             sess: BTreeMap::new(),
             viewers: BTreeMap::new(),
-            most_viewers: limits::viewers(told.sockets, servers.len()),
+            most_viewers,
+            most_lines: limits::lines(told.sockets, most_viewers),
             last_good: None,
             servers: BTreeMap::new(),
             by_name: BTreeMap::new(),
--- a/crates/node/src/core/servers.rs
+++ b/crates/node/src/core/servers.rs
@@ -159,7 +159,7 @@
         let load = |c: &ConnId| self.lines.get(c).map_or((true, usize::MAX), |l| (!l.up, l.out.len()));
         let best = s.lines.iter().copied().min_by_key(load);
         let free = best.filter(|c| load(c).1 == 0);
-        let room = s.lines.len() < limits::LINES;
+        let room = s.lines.is_empty() || s.lines.len() < limits::LINES && self.lines.len() < self.most_lines;
         let Some(conn) = free.or_else(|| if room { self.connect(server, now) } else { best }) else {
             return self.setup_ended(id, Ending::NoConnection, now);
         };
--- a/crates/node/src/edge/hub.rs
+++ b/crates/node/src/edge/hub.rs
@@ -106,37 +106,44 @@
         }
     }
 
+    /// Does what the core says, and what it says to what comes of that at once.
     fn perform(&mut self) {
-        for what in self.node.take() {
-            match what {
-                Do::Connect { conn, address } => {
-                    match socket::connect(conn, address, self.clock, &self.news) {
-                        Ok(socket) => {
-                            self.open.insert(conn, Open { socket, backlog: Vec::new() });
-                        }
-                        Err(e) => {
-                            let refused = e.kind() == std::io::ErrorKind::ConnectionRefused;
-                            let end = if refused { End::Refused } else { End::Closed };
-                            self.node.closed(conn, end, self.clock.now());
-                        }
-                    }
-                }
-                Do::Write { conn, bytes } => self.write(conn, &bytes),
-                Do::Close { conn } => {
-                    if let Some(open) = self.open.remove(&conn) {
-                        open.socket.shut();
-                    }
+        loop {
+            let dos = self.node.take();
+            if dos.is_empty() {
+                return;
+            }
+            dos.into_iter().for_each(|what| self.perform_one(what));
+        }
+    }
+
+    fn perform_one(&mut self, what: Do) {
+        match what {
+            Do::Connect { conn, address } => match socket::connect(conn, address, self.clock, &self.news) {
+                Ok(socket) => {
+                    self.open.insert(conn, Open { socket, backlog: Vec::new() });
                 }
-                Do::Query { to, bytes } => {
-                    // A question that is lost is asked again.
-                    let _ = self.names.send_to(&bytes, to);
+                Err(e) => {
+                    let refused = e.kind() == std::io::ErrorKind::ConnectionRefused;
+                    let end = if refused { End::Refused } else { End::Closed };
+                    self.node.closed(conn, end, self.clock.now());
                 }
-                Do::Log(line) => tracing::info!(target: "walnutline::mode", "{line}"),
-                Do::Exit => {
-                    tracing::info!(target: "walnutline::mode", "stopped");
-                    std::process::exit(0);
+            },
+            Do::Write { conn, bytes } => self.write(conn, &bytes),
+            Do::Close { conn } => {
+                if let Some(open) = self.open.remove(&conn) {
+                    open.socket.shut();
                 }
             }
+            Do::Query { to, bytes } => {
+                // A question that is lost is asked again.
+                let _ = self.names.send_to(&bytes, to);
+            }
+            Do::Log(line) => tracing::info!(target: "walnutline::mode", "{line}"),
+            Do::Exit => {
+                tracing::info!(target: "walnutline::mode", "stopped");
+                std::process::exit(0);
+            }
         }
     }
 
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -40,13 +40,15 @@
 pub const SWEEP: Ms = 250.0;
 /// After being told to stop, requests still come for so long; then the node ends once nothing is owed.
 pub const LAST_REQUESTS: Ms = 700.0;
-/// Sessions that stand are kept up for so long after the longest wait of a viewer, short of the kill.
+/// Sessions that stand are kept up for so long after the longest wait of a viewer, or after the longest that the
+/// platform gives for it: the kill comes 250 ms later.
 pub const LAST_SESSIONS: Ms = 450.0;
+pub const LONGEST_STOP: Ms = 3_000.0;
 /// Descriptors that are neither viewers' nor servers': standard streams, listener, pollers, datagrams, signals, the
 /// configuration, and some to spare.
 pub const OWN_DESCRIPTORS: usize = 28;
 /// Descriptors kept for servers, by server listed at the start, and at the least.
-pub const SERVER_DESCRIPTORS: usize = 3;
+pub const SERVER_DESCRIPTORS: usize = LINES;
 pub const SERVERS_AT_LEAST: usize = 16;
 /// Bytes that wait for a peer that does not read. Then its connection is closed.
 pub const BACKLOG: usize = 256 * 1024;
@@ -59,3 +61,9 @@
     let kept = OWN_DESCRIPTORS + SERVER_DESCRIPTORS * servers.max(SERVERS_AT_LEAST);
     sockets.saturating_sub(kept).max(sockets / 3).max(8)
 }
+
+/// How many connections to servers there may be before one that has a connection gets no further ones: servers
+/// that go and their successors are there at the same time.
+pub fn lines(sockets: usize, viewers: usize) -> usize {
+    sockets.saturating_sub(OWN_DESCRIPTORS + viewers)
+}
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -238,6 +238,31 @@
     assert!(w.exited);
 }
 
+/// Sessions that stand are kept up as long as the platform gives time for: its longest wait, at most 3 s.
+#[test]
+fn told_to_stop_it_ends_before_it_is_killed_while_sessions_stand() {
+    let mut w = World::with(&NODE.replace("\"hard_limit\":3000.0", "\"hard_limit\":1000.0"));
+    w.standing(1);
+    w.node.stop(w.now);
+    w.pass(1_300.0);
+    assert!(!w.exited);
+    w.pass(399.0);
+    assert!(w.exited);
+}
+
+/// Sockets run short: a server that has a connection gets no more, one that has none does.
+#[test]
+fn connections_to_servers_are_bounded_in_all() {
+    let mut w = World::with(&NODE.replace("\"sockets\":256", "\"sockets\":40"));
+    let viewer = w.viewer();
+    let flood: String = (1..=30).map(|id| wanted(id, "")).collect();
+    w.says(viewer, &flood);
+    for id in 1..=30 {
+        w.setup_of(id);
+    }
+    assert!(w.servers.len() <= 2, "{} connections", w.servers.len());
+}
+
 fn list(w: &World, serial: u32, line: Option<(&'static str, [u8; 4], u16)>) -> Vec<u8> {
     use simple_dns::rdata::{RData, A, SOA, SRV, TXT};
     use simple_dns::{Name, Packet, ResourceRecord, CLASS};
