--- /dev/null
+++ b/crates/cli/tests/node.rs
@@ -0,0 +1,225 @@
+//! `walnutline node` on loopback: the binary itself, beside a scripted server, a scripted name service and viewers.
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::time::{Duration, Instant};
+use test_case::test_case;
+
+const NODE: &str = include_str!("../../platform/tests/node.json");
+const WAIT: Duration = Duration::from_secs(20);
+
+/// A node with one server that answers every SETUP and probe, and hands out what else it reads.
+struct Bench {
+    child: Child,
+    address: SocketAddr,
+    document: PathBuf,
+    names: UdpSocket,
+    heard: Receiver<(TcpStream, String)>,
+    _folder: tempfile::TempDir,
+}
+
+impl Bench {
+    fn start() -> Bench {
+        let server = TcpListener::bind("127.0.0.1:0").unwrap();
+        let names = UdpSocket::bind("127.0.0.1:0").unwrap();
+        names.set_read_timeout(Some(WAIT)).unwrap();
+        let folder = tempfile::tempdir().unwrap();
+        let document = folder.path().join("config.json");
+        let text = NODE
+            .replace("127.0.0.1:5061", &server.local_addr().unwrap().to_string())
+            .replace("127.0.0.1:1053", &names.local_addr().unwrap().to_string())
+            // The second server is told gone by the last change: one is enough here.
+            .replace("\"instanceId\":\"s-00000002\",", "\"instanceId\":\"s-00000003\",");
+        std::fs::write(&document, text).unwrap();
+        let (to, heard) = channel();
+        std::thread::spawn(move || {
+            for stream in server.incoming() {
+                let to = to.clone();
+                std::thread::spawn(move || serve(stream.unwrap(), &to));
+            }
+        });
+        // A port that was free a moment ago may be taken: then another one is tried.
+        for _ in 0..20 {
+            let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+            let mut child = Command::new(env!("CARGO_BIN_EXE_walnutline"))
+                .arg("node")
+                .env("NODE_NAME", "n1")
+                .env("NODE_LISTEN", address.to_string())
+                .env("NODE_CONFIG", &document)
+                .stderr(Stdio::null())
+                .spawn()
+                .unwrap();
+            let until = Instant::now() + WAIT;
+            while Instant::now() < until && child.try_wait().unwrap().is_none() {
+                if TcpStream::connect(address).is_ok() {
+                    return Bench { child, address, document, names, heard, _folder: folder };
+                }
+                std::thread::sleep(Duration::from_millis(5));
+            }
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        panic!("no node came up");
+    }
+
+    fn viewer(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.address).unwrap();
+        stream.set_read_timeout(Some(WAIT)).unwrap();
+        stream
+    }
+
+    fn signal(&self, name: &str) {
+        let done = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
+        assert!(done.success());
+    }
+}
+
+impl Drop for Bench {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn serve(mut stream: TcpStream, to: &std::sync::mpsc::Sender<(TcpStream, String)>) {
+    let mut rest = String::new();
+    while let Some(message) = read_message(&mut stream, &mut rest) {
+        let session = message.lines().find(|l| l.starts_with("Session")).unwrap_or("Session: ").to_owned();
+        let answer = if message.starts_with("SETUP") {
+            format!("RTSP/1.0 200 OK\r\nCSeq: 1\r\n{session}\r\nContent-Length: 5\r\n\r\nb=2\r\n")
+        } else if message.starts_with("OPTIONS") {
+            let report = "X-Circuits: inflight:1;x0:0.2";
+            format!("RTSP/1.0 200 OK\r\nCSeq: 3\r\n{session}\r\n{report}\r\nContent-Length: 0\r\n\r\n")
+        } else {
+            String::new()
+        };
+        let _ = stream.write_all(answer.as_bytes());
+        if !message.starts_with("OPTIONS") {
+            let _ = to.send((stream.try_clone().unwrap(), message));
+        }
+    }
+}
+
+fn read_message(stream: &mut TcpStream, rest: &mut String) -> Option<String> {
+    loop {
+        if let Some(head) = rest.find("\r\n\r\n").map(|at| at + 4) {
+            let length = rest[..head].lines().find_map(|l| l.strip_prefix("Content-Length: ")).unwrap_or("0");
+            let whole = head + length.parse::<usize>().unwrap();
+            if rest.len() >= whole {
+                let next = rest.split_off(whole);
+                return Some(std::mem::replace(rest, next));
+            }
+        }
+        let mut buffer = [0; 4096];
+        match stream.read(&mut buffer) {
+            Ok(n) if n > 0 => rest.push_str(&String::from_utf8_lossy(&buffer[..n])),
+            _ => return None,
+        }
+    }
+}
+
+fn wanted(id: u64) -> String {
+    format!(
+        "SETUP rtsp://media/7f3a9c21e0b4d655 RTSP/1.0\r\nCSeq: 1\r\nSession: {id:016x}\r\nX-Call-Class: board-loop\r\n\
+         X-Ring-Limit: 3000\r\nX-Dest: home:0;copies:1;top:4;viewer:00000000b4d65521\r\nContent-Length: 5\r\n\r\na=1\r\n"
+    )
+}
+
+fn answer(stream: &mut TcpStream) -> String {
+    read_message(stream, &mut String::new()).expect("an answer")
+}
+
+#[test]
+fn a_session_from_set_up_to_release_by_its_server() {
+    let b = Bench::start();
+    let mut viewer = b.viewer();
+    viewer.write_all(wanted(1).as_bytes()).unwrap();
+    let plays = answer(&mut viewer);
+    assert!(plays.starts_with("RTSP/1.0 200") && plays.ends_with("\r\n\r\nb=2\r\n"), "{plays}");
+    let (mut server, setup) = b.heard.recv_timeout(WAIT).unwrap();
+    assert!(setup.starts_with("SETUP") && setup.ends_with("a=1\r\n"), "{setup}");
+    let over = "TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: 0000000000000001\r\nReason: cause=16\r\n\
+                Content-Length: 0\r\n\r\n";
+    server.write_all(over.as_bytes()).unwrap();
+    let told = answer(&mut viewer);
+    assert!(told.starts_with("TEARDOWN") && told.contains("cause=16"), "{told}");
+}
+
+#[test_case(b"\x01\x02\x03\x04 rubbish \xff\xfe\r\n\r\n" ; "rubbish")]
+#[test_case(b"SETUP rtsp://media/0 RTSP/1.0\r\nContent-Length: -1\r\n\r\n" ; "negative length")]
+#[test_case(b"SETUP rtsp://media/0 RTSP/1.0\r\nContent-Length: 60000000\r\n\r\n" ; "60 MB")]
+#[test_case(b"SETUP rtsp://media/7f3a9c21e0b4d655 RTSP/1.0\r\nCSeq: 1\r\nContent-Length: 0\r\n\r\n" ; "no id")]
+#[test_case(b"SETUP rtsp://media/" ; "half a request")]
+#[test_case(b"" ; "silence")]
+fn bad_input_gets_an_error_or_a_close_within_3_s(bytes: &[u8]) {
+    let b = Bench::start();
+    let mut bad = b.viewer();
+    let began = Instant::now();
+    let _ = bad.write_all(bytes);
+    let mut got = [0; 16];
+    let n = bad.read(&mut got).unwrap_or(0);
+    assert!(n == 0 || got.starts_with(b"RTSP/1.0 400"), "{:?}", &got[..n]);
+    assert!(began.elapsed() < Duration::from_secs(3), "{:?}", began.elapsed());
+    let mut good = b.viewer();
+    good.write_all(wanted(1).as_bytes()).unwrap();
+    assert!(answer(&mut good).starts_with("RTSP/1.0 200"));
+}
+
+/// SIGHUP names another name service, which is asked from then on; a document that can't be read changes nothing.
+#[test]
+fn a_configuration_read_anew_names_another_name_service() {
+    let b = Bench::start();
+    let mut query = [0; 512];
+    b.names.recv_from(&mut query).expect("a query at the first name service");
+    std::fs::write(&b.document, "{").unwrap();
+    b.signal("-HUP");
+    let second = UdpSocket::bind("127.0.0.1:0").unwrap();
+    second.set_read_timeout(Some(WAIT)).unwrap();
+    let first = b.names.local_addr().unwrap().to_string();
+    let text = NODE.replace("127.0.0.1:1053", &second.local_addr().unwrap().to_string());
+    assert_ne!(text, first);
+    std::fs::write(&b.document, text).unwrap();
+    b.signal("-HUP");
+    second.recv_from(&mut query).expect("a query at the second name service");
+    let mut viewer = b.viewer();
+    viewer.write_all(wanted(1).as_bytes()).unwrap();
+    assert!(answer(&mut viewer).starts_with("RTSP/1.0 200"));
+}
+
+/// Told to stop, twice: what comes on an open connection is still answered, then the process ends by itself with 0.
+#[test]
+fn told_to_stop_it_answers_and_ends() {
+    let mut b = Bench::start();
+    let mut viewer = b.viewer();
+    viewer.write_all(wanted(1).as_bytes()).unwrap();
+    assert!(answer(&mut viewer).starts_with("RTSP/1.0 200"));
+    b.signal("-TERM");
+    b.signal("-TERM");
+    viewer.write_all(wanted(2).as_bytes()).unwrap();
+    assert!(answer(&mut viewer).starts_with("RTSP/1.0 200"));
+    let until = Instant::now() + WAIT;
+    let status = loop {
+        match b.child.try_wait().unwrap() {
+            Some(status) => break status,
+            None if Instant::now() > until => panic!("still there"),
+            None => std::thread::sleep(Duration::from_millis(20)),
+        }
+    };
+    assert!(status.success(), "{status}");
+}
+
+#[test_case("NODE_LISTEN", "nowhere" => "NODE_LISTEN: nowhere: invalid socket address syntax"; "address")]
+#[test_case("NODE_CONFIG", "" => "NODE_CONFIG: not set"; "no configuration")]
+fn a_wrong_start_names_what_is_wrong(name: &str, value: &str) -> String {
+    let out = Command::new(env!("CARGO_BIN_EXE_walnutline"))
+        .arg("node")
+        .envs([("NODE_NAME", "n1"), ("NODE_LISTEN", "127.0.0.1:0"), ("NODE_CONFIG", "/nothing")])
+        .env(name, value)
+        .env("RUST_LOG", "off")
+        .output()
+        .unwrap();
+    assert!(!out.status.success());
+    String::from_utf8(out.stderr).unwrap().trim().trim_start_matches("walnutline: ").to_owned()
+}
