--- a/crates/node/src/core/list.rs
+++ b/crates/node/src/core/list.rs
@@ -6,7 +6,8 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use walnutline::fleet::{Listed, Listing};
-use walnutline::ids::{CellNo, KindNo, Ms, ServerId, ZoneNo};
+use walnutline::ids::{CellNo, KindNo, Ms, ServerId, SessId, ZoneNo};
+use walnutline::interface::Ending;
 use walnutline_desk::retry::Retry;
 use walnutline_platform::configuration::Configuration;
 use walnutline_platform::{names, ServerLine};
@@ -94,6 +95,15 @@
             }
         }
         self.desk.listed_all(listed);
+        self.call_back(now);
+    }
+
+    /// SETUPs that wait for a connection to a server that takes nothing new any more never leave.
+    fn call_back(&mut self, now: Ms) {
+        let ready = |id: &ServerId| self.servers.get(id).is_some_and(|s| s.listing == Listing::Ready);
+        let opening = self.lines.values_mut().filter(|l| !l.up && !ready(&l.server));
+        let waiting: Vec<SessId> = opening.flat_map(|l| std::mem::take(&mut l.out)).collect();
+        waiting.into_iter().for_each(|id| self.setup_ended(id, Ending::NeverSent, now));
     }
 
     /// The server of a line of the list, as it is told now. An id is not an address: another process, or another
--- a/crates/node/src/edge/socket.rs
+++ b/crates/node/src/edge/socket.rs
@@ -235,6 +235,37 @@
     use super::*;
     use std::time::Duration;
 
+    /// A connection that hangs while it is opened: shutting it ends its coroutine, which frees the descriptor.
+    #[test]
+    fn a_connect_that_hangs_ends_when_it_is_shut() {
+        let slow = socket2::Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        slow.bind(&SockAddr::from(SocketAddr::from(([127, 0, 0, 1], 0)))).unwrap();
+        slow.listen(0).unwrap();
+        let address = slow.local_addr().unwrap().as_socket().unwrap();
+        let (hub, news) = crossbeam_channel::unbounded();
+        // Those that find room come up; the first that does not hangs.
+        let mut held = Vec::new();
+        let hangs = (0..16).map(ConnId).find_map(|conn| {
+            let socket = connect(conn, address, Clock::start(), &hub).unwrap();
+            match news.recv_timeout(Duration::from_millis(300)) {
+                Ok(News::Connected(_)) => {
+                    held.push(socket);
+                    None
+                }
+                _ => Some((conn, socket)),
+            }
+        });
+        let (conn, socket) = hangs.expect("one that hangs");
+        socket.shut();
+        let weak = Arc::downgrade(&socket);
+        drop(socket);
+        match news.recv_timeout(Duration::from_secs(10)) {
+            Ok(News::Closed { conn: c, .. }) => assert_eq!(c, conn),
+            _ => panic!("its coroutine still waits"),
+        }
+        assert!(weak.upgrade().is_none(), "the descriptor is still held");
+    }
+
     /// Connections that end while others begin: each new one is read, whatever number its descriptor has.
     #[test]
     fn descriptors_used_again_are_still_polled() {
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -313,6 +313,32 @@
     assert_eq!(w.node.desk.front.fleet.servers.len(), 1, "those gone are forgotten");
 }
 
+/// A SETUP that waits for a connection when its server is told gone never leaves: another one is asked at once.
+#[test]
+fn a_set_up_that_waits_for_a_server_that_goes_is_called_back() {
+    let mut w = World::new();
+    w.open_at_once = false;
+    for conn in w.servers.keys().copied().collect::<Vec<_>>() {
+        w.ends(conn, End::Closed);
+    }
+    // Their loads are known, so that none is probed first.
+    for server in w.node.desk.front.fleet.servers.keys().copied().collect::<Vec<_>>() {
+        w.node.desk.report(server, &[1.0, 0.2], w.now);
+    }
+    let viewer = w.viewer();
+    w.says(viewer, &wanted(1, "").replace("copies:2", "copies:1"));
+    let waits = *w.connecting.last().expect("a connection is being opened");
+    w.pass(limits::POLL);
+    let none = list(&w, 9, None);
+    let names = w.queries.last().unwrap().0;
+    w.node.datagram(names, &none, w.now);
+    w.run();
+    assert!(w.find("RTSP/1.0 503").is_some_and(|(conn, _)| conn == viewer), "{:?}", w.out);
+    w.node.connected(waits, w.now);
+    w.run();
+    assert_eq!(w.find("SETUP"), None);
+}
+
 #[test]
 fn a_new_configuration_names_another_name_service() {
     let mut w = World::new();
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -25,16 +25,17 @@
 const MARK: f64 = 0.8;
 /// Use over which playing sessions are stepped down.
 const FULL: f64 = 1.0;
-/// A session changes rung at most once in this time.
-const HOLD: Ms = 2_500.0;
+/// A session changes rung at most once in this time, by the delay of delivered shares: what a change led to has been
+/// heard by then. 2.5 s where news is as late as on the first deployments.
+const HOLD: f64 = 3.0;
 /// Shares delivered under this tell of a link or uplink that is asked too much.
 const SHORT: f64 = 0.98;
 /// Time between the probes of a server, for each session that this front has there: probes are priced by
 /// the session. The first one comes sooner.
 const PROBE_PACE: Ms = 25_000.0;
 const PROBE_FIRST: Ms = 1_500.0;
-/// After a step down, news older than its own delay and this is of the time before.
-const SETTLE: Ms = 1_000.0;
+/// After a step down, news older than its own delay and this, by the same delay, is of the time before.
+const SETTLE: f64 = 1.2;
 /// Weight of a report against what the table expected: reports are noisy.
 const MERGE: f64 = 0.5;
 /// A report older than this no longer counts: its server is as one not heard from.
@@ -146,7 +147,7 @@
         let fits = own * (1.0 - (1.0 - FULL / use_) * can_give / all_can);
         if use_ > FULL && self.shed(hand, line, fits, now) {
             self.log.push(format!("over {line:?} use={use_:.2}"));
-            let until = now + self.terms.share_delay + SETTLE;
+            let until = now + self.terms.share_delay * (1.0 + SETTLE);
             self.fleet.line(line).into_iter().for_each(|(_, settled_at)| *settled_at = until);
         }
     }
@@ -481,7 +482,8 @@
             if load <= fits {
                 break;
             }
-            if now - s.stepped >= HOLD && s.rung > terms.groups[s.group.0 as usize].floor {
+            if now - s.stepped >= HOLD * terms.share_delay && s.rung > terms.groups[s.group.0 as usize].floor
+            {
                 let less = s.rate(terms, s.rung) - s.rate(terms, s.rung - 1);
                 // A rung may be far more than this front's part of the excess: the last one goes by chance,
                 // or all fronts together would shed several times what is too much.
@@ -520,7 +522,11 @@
         let terms = &self.terms;
         let mut up: Vec<(f64, SessId)> = Vec::new();
         for (id, s) in &hand.sess {
-            if s.playing && s.at == Some(server) && s.rung < s.top && now - s.stepped >= HOLD {
+            if s.playing
+                && s.at == Some(server)
+                && s.rung < s.top
+                && now - s.stepped >= HOLD * terms.share_delay
+            {
                 let more = terms.rung_utility[s.rung as usize + 1] - terms.rung_utility[s.rung as usize];
                 let kb = s.rate(terms, s.rung + 1) - s.rate(terms, s.rung);
                 up.push((terms.groups[s.group.0 as usize].utility * more / kb, *id));
