--- a/src/choice.rs
+++ b/src/choice.rs
@@ -17,9 +17,12 @@
 const BETA: f64 = 0.5;
 /// Costs that differ by less than this are equal.
 const EQUAL: f64 = 1e-6;
-/// Use, with the session itself, from which a new one gets a lower rung, and the use for each rung lower.
-const START_MARK: f64 = 0.7;
+/// Use, with the session itself, from which a new one gets a lower rung, and the use for each rung lower. The mark
+/// is lower by the part of its link that the session takes, at most by this: where a few sessions fill a link,
+/// the next one is as likely to overfill it.
+const START_MARK: f64 = 0.8;
 const STEP: f64 = 0.1;
+const COARSE: f64 = 0.1;
 /// Use, at the higher rate, under which a playing session is stepped up; newcomers are let in while use stays
 /// under it once all stand at their lowest rungs.
 const MARK: f64 = 0.8;
@@ -461,8 +464,9 @@
     fn rung_for(&self, loads: &Loads, server: ServerId, s: &Sess) -> u8 {
         let floor = self.terms.groups[s.group.0 as usize].floor;
         let fits = |rung: &u8| {
-            let used = self.fuller_with(loads, server, s.rate(&self.terms, *rung));
-            let lower = ((used - START_MARK) / STEP).ceil().max(0.0);
+            let kb = s.rate(&self.terms, *rung);
+            let mark = START_MARK - (kb / self.kb(Line::Link(server))).min(COARSE);
+            let lower = ((self.fuller_with(loads, server, kb) - mark) / STEP).ceil().max(0.0);
             (s.top - *rung) as f64 >= lower
         };
         (floor..=s.top).rev().find(fits).unwrap_or(floor)
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -61,6 +61,20 @@
     }
 }
 
+/// Where a session takes a good part of its link, the mark is lower; a fine-grained link is used up to the page's.
+#[test_case(2_000.0, 0.55 => 1; "a fifth of the link each")]
+#[test_case(200_000.0, 0.75 => 2; "a five hundredth each")]
+#[test_case(200_000.0, 0.85 => 1; "over the page's mark all the same")]
+fn a_coarse_link_keeps_more_room(link_kb_per_weight: f64, used: f64) -> u8 {
+    let uplink_kb = 10.0 * link_kb_per_weight;
+    let mut f = front(walnutline::terms::Terms { link_kb_per_weight, uplink_kb, ..terms() });
+    f.fleet.servers.values_mut().for_each(|s| s.link = Some(Seen { value: used, at: NOW, own: 0.0 }));
+    match f.place(&mut hand([sess()]), ONE, NOW) {
+        Place::Setup { rung, .. } => rung,
+        other => panic!("{other:?}"),
+    }
+}
+
 #[test_case(0.97, 0 => false; "full with all at their lowest rungs")]
 #[test_case(0.97, 2 => true; "those there can step down")]
 #[test_case(0.70, 0 => true; "room at the lowest rung")]
