--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -3,13 +3,17 @@
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::mpsc::{channel, Receiver};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use test_case::test_case;
 
 const NODE: &str = include_str!("../../platform/tests/node.json");
+/// What becomes of the scripted server.
+const SERVES: u8 = 0;
+const DIES: u8 = 1;
+const SILENT: u8 = 2;
 const WAIT: Duration = Duration::from_secs(20);
 
 /// A node with one server that answers every SETUP and probe, and hands out what else it reads.
@@ -19,7 +23,7 @@
     document: PathBuf,
     names: UdpSocket,
     server: SocketAddr,
-    dies: Arc<AtomicBool>,
+    fate: Arc<AtomicU8>,
     heard: Receiver<(TcpStream, String)>,
     _folder: tempfile::TempDir,
 }
@@ -39,17 +43,22 @@
             .replace("\"instanceId\":\"s-00000002\",", "\"instanceId\":\"s-00000003\",");
         std::fs::write(&document, text).unwrap();
         let (to, heard) = channel();
-        let (at, dies) = (server.local_addr().unwrap(), Arc::new(AtomicBool::new(false)));
-        let dying = dies.clone();
+        let (at, fate) = (server.local_addr().unwrap(), Arc::new(AtomicU8::new(SERVES)));
+        let met = fate.clone();
         std::thread::spawn(move || {
             let mut open = Vec::new();
             for stream in server.incoming().map(Result::unwrap) {
-                if dying.load(Ordering::SeqCst) {
-                    break;
+                match met.load(Ordering::SeqCst) {
+                    DIES => break,
+                    // Whoever wakes it ends the test by itself: nothing is taken in any more.
+                    SILENT => loop {
+                        std::thread::park();
+                    },
+                    _ => {}
                 }
-                let to = to.clone();
+                let (to, met) = (to.clone(), met.clone());
                 open.push(stream.try_clone().unwrap());
-                std::thread::spawn(move || serve(stream, &to));
+                std::thread::spawn(move || serve(stream, &to, &met));
             }
             drop(server);
             open.iter().for_each(|s| drop(s.shutdown(std::net::Shutdown::Both)));
@@ -75,7 +84,7 @@
                         document,
                         names,
                         server: at,
-                        dies,
+                        fate,
                         heard,
                         _folder: folder,
                     };
@@ -107,9 +116,12 @@
     }
 }
 
-fn serve(mut stream: TcpStream, to: &std::sync::mpsc::Sender<(TcpStream, String)>) {
+fn serve(mut stream: TcpStream, to: &std::sync::mpsc::Sender<(TcpStream, String)>, fate: &AtomicU8) {
     let mut rest = String::new();
     while let Some(message) = read_message(&mut stream, &mut rest) {
+        if fate.load(Ordering::SeqCst) == SILENT {
+            continue;
+        }
         let session = message.lines().find(|l| l.starts_with("Session")).unwrap_or("Session: ").to_owned();
         let answer = if message.starts_with("SETUP") {
             format!("RTSP/1.0 200 OK\r\nCSeq: 1\r\n{session}\r\nContent-Length: 5\r\n\r\nb=2\r\n")
@@ -179,13 +191,36 @@
     let mut viewer = b.viewer();
     viewer.write_all(wanted(1).as_bytes()).unwrap();
     assert!(answer(&mut viewer).starts_with("RTSP/1.0 200"));
-    b.dies.store(true, Ordering::SeqCst);
+    b.fate.store(DIES, Ordering::SeqCst);
     // Wakes the listener, which goes; then its connections end.
     let _ = TcpStream::connect(b.server);
     let told = answer(&mut viewer);
     assert!(told.starts_with("TEARDOWN") && told.contains("cause=41"), "{told}");
 }
 
+/// Its server's machine vanishes: open connections say nothing, new ones never come up.
+#[test]
+fn a_silent_machine_is_told_within_8_s() {
+    let b = Bench::start();
+    let mut viewer = b.viewer();
+    viewer.write_all(wanted(1).as_bytes()).unwrap();
+    assert!(answer(&mut viewer).starts_with("RTSP/1.0 200"));
+    b.fate.store(SILENT, Ordering::SeqCst);
+    let began = Instant::now();
+    // The places of those that wait to be taken in are filled: what comes next gets no answer at all.
+    let fill = |_| {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.set_nonblocking(true).unwrap();
+        let _ = socket.connect(&b.server.into());
+        socket
+    };
+    let filled: Vec<socket2::Socket> = (0..300).map(fill).collect();
+    let told = answer(&mut viewer);
+    assert!(told.starts_with("TEARDOWN") && told.contains("cause=41"), "{told}");
+    assert!(began.elapsed() < Duration::from_secs(8), "{:?}", began.elapsed());
+    drop(filled);
+}
+
 #[test_case(b"\x01\x02\x03\x04 rubbish \xff\xfe\r\n\r\n" ; "rubbish")]
 #[test_case(b"SETUP rtsp://media/0 RTSP/1.0\r\nContent-Length: -1\r\n\r\n" ; "negative length")]
 #[test_case(b"SETUP rtsp://media/0 RTSP/1.0\r\nContent-Length: 60000000\r\n\r\n" ; "60 MB")]
--- a/crates/node/src/core/servers.rs
+++ b/crates/node/src/core/servers.rs
@@ -113,12 +113,14 @@
         if !line.up {
             s.fails += 1;
         }
-        // Nobody listens: its process is gone, and what stood there is cut. A machine that takes no new connection
+        // Nobody listens, and no other connection is open, which would be reset: its process is gone, and what stood
+        // there is cut. A machine that takes no new connection
         // and says nothing on an old one is gone as well. One that is gone from the list is not asked again: its
         // address may be another's.
         let silent = now - s.heard > limits::TEST_AFTER && s.fails > 0;
         let gone = s.listing == Listing::Gone && s.lines.is_empty();
-        if end == End::Refused || !line.up && silent || gone {
+        let others = s.lines.iter().any(|c| self.lines.get(c).is_some_and(|l| l.up));
+        if end == End::Refused && !others || !line.up && silent || gone {
             self.cut(server, now);
         } else if !self.servers[&server].standing.is_empty() {
             if line.up {
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -158,6 +158,26 @@
     assert_eq!(w.find("cause=41").unwrap().0, viewer);
 }
 
+/// A server that takes no further connection is not dead while another one to it is open.
+#[test]
+fn a_further_connection_that_is_refused_cuts_nothing() {
+    let mut w = World::new();
+    let (_, server) = w.standing(1);
+    w.open_at_once = false;
+    let spare = w.servers.iter().find(|(c, a)| **c != server && **a == w.servers[&server]).map(|(c, _)| *c);
+    let breaks = spare.unwrap_or_else(|| {
+        // One set-up is out on the only connection: the next one opens another.
+        let viewer = w.viewer();
+        (2..9).for_each(|id| w.says(viewer, &wanted(id, "")));
+        w.pass(210.0);
+        *w.connecting.iter().find(|c| w.servers[c] == w.servers[&server]).expect("a further connection")
+    });
+    w.ends(breaks, End::Refused);
+    assert_eq!(w.find("cause=41"), None);
+    w.says(server, &release(1, 16));
+    assert!(w.find("cause=16").is_some());
+}
+
 #[test]
 fn sessions_of_a_silent_machine_are_released_within_8_s() {
     let mut w = World::new();
