A message begins with a known method only: words in capitals are the rest of a spoilt one

Seen: the test of a length that is too short failed, for 'IN IP4' of a description passed for the beginning of a message (may_begin in frame.rs took any word in capitals). Beginnings are a closed list now.

--- a/crates/platform/src/frame.rs
+++ b/crates/platform/src/frame.rs
@@ -79,12 +79,30 @@
     }
 }
 
-/// Whether a message may begin with these bytes: a method or `RTSP/`, as far as they go.
+/// What messages begin with. A closed list: the rest of a description is often words in capitals too.
+const BEGINNINGS: [&[u8]; 12] = [
+    b"RTSP/1.0 ",
+    b"SETUP ",
+    b"TEARDOWN ",
+    b"OPTIONS ",
+    b"ANNOUNCE ",
+    b"REDIRECT ",
+    b"SET_PARAMETER ",
+    b"GET_PARAMETER ",
+    b"DESCRIBE ",
+    b"PLAY ",
+    b"PAUSE ",
+    b"RECORD ",
+];
+
+/// Whether a message may begin with these bytes, as far as they go.
 fn may_begin(bytes: &[u8]) -> bool {
-    let word = bytes.iter().position(|b| matches!(b, b' ' | b'/')).unwrap_or(bytes.len());
-    word <= 16
-        && (word > 0 || bytes.is_empty())
-        && bytes[..word].iter().all(|b| b.is_ascii_uppercase() || matches!(b, b'_' | b'\r' | b'\n'))
+    let blank = bytes.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
+    let bytes = &bytes[blank..];
+    BEGINNINGS.iter().any(|word| {
+        let both = word.len().min(bytes.len());
+        word[..both] == bytes[..both]
+    })
 }
 
 fn find(bytes: &[u8], what: &[u8]) -> Option<usize> {
