--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -90,6 +90,24 @@
     assert_eq!(turned_away, 5);
 }
 
+/// Set-ups withdrawn by the hundred, some sent twice under one number: nothing of them is left.
+#[test]
+fn what_is_withdrawn_leaves_nothing() {
+    let mut w = World::new();
+    let viewer = w.viewer();
+    let up = |id| release(id, 31).replace("Reason: cause=31\r\n", "");
+    let all: String = (1..=100).map(|id| wanted(id, "a\r\n") + &wanted(id, "b\r\n")).collect();
+    w.says(viewer, &all);
+    assert_eq!(w.out.iter().filter(|(_, t)| t.starts_with("RTSP/1.0 400")).count(), 100);
+    w.pass(30.0);
+    let withdrawn: String = (1..=100).map(up).collect();
+    w.says(viewer, &withdrawn);
+    assert_eq!(w.node.desk.hand.sess.len(), 0);
+    w.out.clear();
+    w.pass(1_000.0);
+    assert_eq!(w.find("SETUP"), None);
+}
+
 /// A SETUP that timed out is given up before the next is written, and what comes of it late is released.
 #[test]
 fn a_late_good_answer_is_released_at_once() {
