--- a/crates/platform/src/frame.rs
+++ b/crates/platform/src/frame.rs
@@ -41,6 +41,11 @@
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Bytes that are held for a message that is not whole.
+    pub fn held(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether a message has begun and is not whole.
     pub fn is_partial(&self) -> bool {
         !self.buffer.is_empty()
--- a/crates/platform/tests/codecs.rs
+++ b/crates/platform/tests/codecs.rs
@@ -31,9 +31,24 @@
 }
 
 proptest! {
-    /// Any bytes in any pieces: no panic, and never more held than one message and a piece.
+    /// A good beginning and then bytes without an end, in any pieces: refused with no more held than one message
+    /// and a piece.
     #[test]
-    fn rubbish_is_bounded(bytes in prop::collection::vec(any::<u8>(), 0..600), piece in 1usize..90) {
+    fn what_never_ends_is_bounded(byte in any::<u8>(), piece in 1usize..5_000, length in 0usize..50_000) {
+        let head = format!("SETUP rtsp://media/0 RTSP/1.0\r\nContent-Length: {length}\r\nX: ");
+        let endless = [head.as_bytes(), &vec![byte; 3 * LONGEST]].concat();
+        let mut reader = Reader::default();
+        let refused = endless.chunks(piece).any(|piece| {
+            reader.push(piece);
+            assert!(reader.held() <= LONGEST + piece.len(), "{} held", reader.held());
+            reader.next_message().is_err()
+        });
+        prop_assert!(refused);
+    }
+
+    /// Any bytes in any pieces: no panic.
+    #[test]
+    fn rubbish_is_no_panic(bytes in prop::collection::vec(any::<u8>(), 0..600), piece in 1usize..90) {
         let _ = all(&bytes, piece);
         let _ = names::read(&bytes, 7);
     }
