SIGHUPs no longer multiply questions; a standing process gathers no connections

Found by reading the whole change again. list.rs configured() called poll(), which sets its own next time: each SIGHUP began one more row of questions for good. servers.rs test_due() opened a connection at each test of a silent server; where its process only stands still these come up and stayed. The list is asked without a new row now, and a connection that was to tell whether a machine is there is closed once it has told, where the server has its number already. Both tests fail on the code before. A first form of the second closed it as one that broke, which opens the next one at once, without end: the new test showed it.

--- a/crates/node/src/core/list.rs
+++ b/crates/node/src/core/list.rs
@@ -29,13 +29,17 @@
 impl Node {
     /// Asks for the list; a lost answer is made up for by the next question.
     pub(super) fn poll(&mut self, now: Ms) {
+        self.ask_list();
+        self.timers.set(now + limits::POLL, Due::Poll);
+    }
+
+    fn ask_list(&mut self) {
         let id = self.rng.u16(..);
         if self.names.asked.len() >= limits::ASKED {
             self.names.asked.pop_front();
         }
         self.names.asked.push_back(id);
         self.dos.push(Do::Query { to: self.names.address, bytes: names::query(id) });
-        self.timers.set(now + limits::POLL, Due::Poll);
     }
 
     /// A datagram that came from there. What is not a good answer to one of the last questions, or is older than
@@ -63,7 +67,8 @@
             self.names.serial = told.last;
             self.listed(told.servers, now);
         }
-        self.poll(now);
+        // The questions at intervals go on by themselves.
+        self.ask_list();
         self.settle(now);
     }
 
--- a/crates/node/src/core/servers.rs
+++ b/crates/node/src/core/servers.rs
@@ -92,6 +92,14 @@
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.fails = 0;
         s.retry.worked();
+        // It was to tell whether a silent machine is there, and has told: a process that stands still for long
+        // would else gather one more with each test.
+        if s.lines.len() > limits::LINES && waiting.is_empty() && probes == 0 {
+            // Not as one that broke: nothing was sent on it, and no other one is opened for it.
+            s.lines.retain(|c| *c != conn);
+            self.lines.remove(&conn);
+            return self.dos.push(Do::Close { conn });
+        }
         for bytes in std::mem::take(&mut s.unsent).into_values() {
             self.dos.push(Do::Write { conn, bytes });
         }
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -219,6 +219,19 @@
     panic!("still held");
 }
 
+/// A process that stands still takes connections by its kernel and says nothing: its sessions are left alone, and
+/// its connections do not grow in number with the tests.
+#[test]
+fn a_process_that_stands_still_keeps_its_sessions_and_gathers_no_connections() {
+    let mut w = World::new();
+    let (_, server) = w.standing(1);
+    let address = w.servers[&server];
+    w.pass(30_000.0);
+    assert_eq!(w.find("cause=41"), None);
+    let open = w.servers.values().filter(|a| **a == address).count();
+    assert!(open <= limits::LINES, "{open} connections");
+}
+
 #[test]
 fn a_release_waits_for_a_connection_that_brings_a_set_up() {
     let mut w = World::new();
@@ -384,6 +397,14 @@
     w.node.configured(walnutline_platform::configuration::read(&told).unwrap(), w.now);
     w.run();
     assert_eq!(w.queries.last().unwrap().0, "127.0.0.2:1054".parse().unwrap());
+    // Told again and again, it asks no more often than before.
+    for _ in 0..20 {
+        w.node.configured(walnutline_platform::configuration::read(&told).unwrap(), w.now);
+    }
+    w.run();
+    w.queries.clear();
+    w.pass(1_000.0);
+    assert!(w.queries.len() <= 6, "{} questions in a second", w.queries.len());
 }
 
 /// What the property below saw of one session.
