Fronts tell each other what probes answered; tests and first connections no longer by all

Counted in the trace: 18 978 'OPTIONS rtsp://media/ping' beside 1 829 'OPTIONS rtsp://media/load' once asking was cut: tests are priced as probes.

Cause: news of a server reached one node of 300. (1) choice.rs asked each server for itself (ASK_AFTER, PROBE_FIRST), (2) care.rs tested each silent server where a session stood every 2 s in each node, (3) fill took the whole room with each news, however soon after the last.

Change: the module tells all fronts in one message what probes answered (tell, peer_told), paid for by requests taken; what was told counts as an answer: no probe, no test. A connection is opened once there is something to send.

The simulator's adapter carries no messages.

--- a/crates/desk/src/desk.rs
+++ b/crates/desk/src/desk.rs
@@ -5,7 +5,7 @@
 use walnutline::front::Front;
 use walnutline::hand::Hand;
 use walnutline::ids::{Ms, ServerId, SessId};
-use walnutline::interface::{Ending, Place, Request};
+use walnutline::interface::{Ending, News, Place, Request};
 use walnutline::terms::Terms;
 
 /// What the caller has to do, in this order.
@@ -21,6 +21,8 @@
     BusyReply { id: SessId, come_back: Option<Ms> },
     /// The final answer: torn down.
     TornDown { id: SessId },
+    /// Tell all other fronts, in one message.
+    Tell(Vec<News>),
     /// A line for the log.
     Log(String),
     /// Call [`Desk::attend`] at this time at the latest. A later one never replaces an earlier one.
@@ -82,6 +84,11 @@
         self.front.report(&mut self.hand, server, values, now);
     }
 
+    /// What another front told.
+    pub fn peer_told(&mut self, news: &[News], now: Ms) {
+        self.front.peer_told(&mut self.hand, news, now);
+    }
+
     pub fn share_heard(&mut self, server: ServerId, share: f64, now: Ms) {
         self.front.share_heard(&mut self.hand, server, share, now);
     }
@@ -122,6 +129,9 @@
             let place = self.front.place(&mut self.hand, id, now);
             answer(id, place, out);
         }
+        if !due.tell.is_empty() {
+            out.push(Action::Tell(due.tell));
+        }
         out.extend(due.log.into_iter().map(Action::Log));
         if self.again_at.is_none_or(|t| t > due.again_at) {
             self.again_at = Some(due.again_at);
--- a/crates/desk/src/live.rs
+++ b/crates/desk/src/live.rs
@@ -394,6 +394,8 @@
                 Action::Probe { server } => self.probe(server, now),
                 Action::BusyReply { id, come_back } => self.final_answer(id, Answer::Busy { come_back }),
                 Action::TornDown { id } => self.final_answer(id, Answer::TornDown),
+                // Fronts of this kind have no way to each other.
+                Action::Tell(_) => {}
                 Action::Log(line) => self.dos.push(Do::Log(line)),
                 Action::AgainAt(at) => self.again_at = at,
             }
--- a/crates/node/src/core/list.rs
+++ b/crates/node/src/core/list.rs
@@ -129,7 +129,6 @@
                 let old: Vec<ConnId> = old.collect();
                 self.cut_before(id, since, now);
                 old.into_iter().for_each(|conn| self.close_line(conn, now));
-                self.keep_up(id, now);
             }
             return id;
         }
@@ -149,7 +148,6 @@
             retry: Retry::default(),
         };
         self.servers.insert(id, server);
-        self.keep_up(id, now);
         id
     }
 
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -4,11 +4,13 @@
 //! - [`viewers`]: what viewers send and are owed.
 //! - [`servers`]: connections to servers, and what each end of one proves.
 //! - [`list`]: the list of servers, followed by questions to the name service.
+//! - [`peers`]: what front nodes tell each other.
 //! - [`care`]: what is due with time: silent, idle and overdue peers, and the end of the node.
 //!
 //! State grows with what is open now: sessions in hand, connections, servers listed or still in use.
 mod care;
 mod list;
+mod peers;
 mod servers;
 mod viewers;
 
@@ -101,7 +103,8 @@
 impl Node {
     /// A node with the list that its configuration holds; connections to those servers are opened at once.
     pub fn new(told: Configuration, now: Ms) -> Result<Node, String> {
-        let terms = Terms::parse(&told.terms).map_err(|e| format!("settings: {e}"))?;
+        let mut terms = Terms::parse(&told.terms).map_err(|e| format!("settings: {e}"))?;
+        terms.may_tell &= told.peers_all.is_some() && told.peer_listen.is_some();
         let servers = told.servers.clone();
         let most_viewers = limits::viewers(told.sockets, servers.len());
         let mut node = Node {
@@ -183,6 +186,7 @@
                 Action::Probe { server } => self.probe(server, now),
                 Action::BusyReply { id, come_back } => self.answer(id, viewer::busy(id.0, come_back)),
                 Action::TornDown { id } => self.answer(id, viewer::torn_down(id.0)),
+                Action::Tell(news) => self.tell(&news),
                 Action::Log(line) => self.dos.push(Do::Log(line)),
                 Action::AgainAt(at) => self.again_at = at,
             }
--- /dev/null
+++ b/crates/node/src/core/peers.rs
@@ -0,0 +1,53 @@
+//! Datagrams between front nodes: the module says what is told, and what is heard goes to it.
+use super::Node;
+use crate::exchange::Do;
+use std::net::SocketAddr;
+use walnutline::fleet::Listing;
+use walnutline::ids::{Ms, ServerId};
+use walnutline::interface::News;
+use walnutline_platform::peers::{self, Entry};
+
+impl Node {
+    pub(super) fn tell(&mut self, news: &[News]) {
+        let Some(to) = self.told.peers_all else { return };
+        let entry = |n: &News| {
+            let server = peers::hash(&self.servers.get(&n.server)?.name);
+            Some(Entry { server, age: n.age, streams: n.streams, link: n.link })
+        };
+        let entries: Vec<Entry> = news.iter().filter_map(entry).collect();
+        self.dos.push(Do::Tell { to, bytes: peers::write(&entries) });
+    }
+
+    /// A datagram on the address for other front nodes. What does not come from one of them, can't be read or tells of
+    /// servers that are not listed is passed over.
+    pub fn peer(&mut self, from: SocketAddr, bytes: &[u8], now: Ms) {
+        if !self.told.peers.contains(&from) {
+            return;
+        }
+        let Some(entries) = peers::read(bytes) else { return };
+        let mut by_hash: Vec<(u32, ServerId)> = Vec::with_capacity(self.servers.len());
+        let there = self.servers.iter().filter(|(_, s)| s.listing != Listing::Gone);
+        by_hash.extend(there.map(|(id, s)| (peers::hash(&s.name), *id)));
+        by_hash.sort_unstable();
+        let news = |e: &Entry| {
+            let first = by_hash.partition_point(|(hash, _)| *hash < e.server);
+            let (hash, server) = *by_hash.get(first)?;
+            let two = by_hash.get(first + 1).is_some_and(|(next, _)| *next == e.server);
+            (hash == e.server && !two).then_some(News {
+                server,
+                streams: e.streams,
+                link: e.link,
+                age: e.age,
+            })
+        };
+        let news: Vec<News> = entries.iter().filter_map(news).collect();
+        // A server that answered another node is there. Guards against each node testing each server where something
+        // stands: tests are priced and take a server's time as probes do.
+        for n in &news {
+            if let Some(s) = self.servers.get_mut(&n.server) {
+                s.heard = s.heard.max(now - n.age);
+            }
+        }
+        self.desk.peer_told(&news, now);
+    }
+}
--- a/crates/node/src/edge/hub.rs
+++ b/crates/node/src/edge/hub.rs
@@ -25,6 +25,7 @@
     node: Node,
     clock: Clock,
     names: Arc<UdpSocket>,
+    peers: Option<Arc<UdpSocket>>,
     news: Sender<News>,
     open: HashMap<ConnId, Open>,
     /// Connections with a backlog.
@@ -46,8 +47,15 @@
 }
 
 impl Hub {
-    pub fn new(node: Node, clock: Clock, names: Arc<UdpSocket>, news: Sender<News>, gate: Arc<Gate>) -> Self {
-        Hub { node, clock, names, news, open: HashMap::new(), behind: Vec::new(), gate }
+    pub fn new(
+        node: Node,
+        clock: Clock,
+        names: Arc<UdpSocket>,
+        peers: Option<Arc<UdpSocket>>,
+        news: Sender<News>,
+        gate: Arc<Gate>,
+    ) -> Self {
+        Hub { node, clock, names, peers, news, open: HashMap::new(), behind: Vec::new(), gate }
     }
 
     pub fn run(mut self, events: &Receiver<News>) {
@@ -98,6 +106,7 @@
                 self.node.closed(conn, end, now);
             }
             News::Datagram { from, bytes } => self.node.datagram(from, &bytes, now),
+            News::Peer { from, bytes } => self.node.peer(from, &bytes, now),
             News::Configured(told) => {
                 tracing::info!(target: "walnutline::mode", names = %told.names, "configuration read anew");
                 self.node.configured(*told, now);
@@ -139,6 +148,11 @@
                 // A question that is lost is asked again.
                 let _ = self.names.send_to(&bytes, to);
             }
+            Do::Tell { to, bytes } => {
+                if let Some(peers) = &self.peers {
+                    let _ = peers.send_to(&bytes, to);
+                }
+            }
             Do::Log(line) => tracing::info!(target: "walnutline::mode", "{line}"),
             Do::Exit => {
                 tracing::info!(target: "walnutline::mode", "stopped");
--- a/crates/node/src/edge/mod.rs
+++ b/crates/node/src/edge/mod.rs
@@ -29,6 +29,7 @@
     Bytes { conn: ConnId, at: Ms, bytes: Vec<u8> },
     Closed { conn: ConnId, end: End },
     Datagram { from: SocketAddr, bytes: Vec<u8> },
+    Peer { from: SocketAddr, bytes: Vec<u8> },
     Configured(Box<configuration::Configuration>),
     Stop,
 }
@@ -68,6 +69,14 @@
     let clock = Clock::start();
     may::config().set_workers(1).set_stack_size(STACK_WORDS).set_pool_capacity(POOL);
     let told = load(start)?;
+    let peers = told.peer_listen.and_then(|at| match UdpSocket::bind(at) {
+        Ok(socket) => Some(Arc::new(socket)),
+        // Without them it serves all the same.
+        Err(e) => {
+            tracing::warn!("datagrams of other nodes: {at}: {e}");
+            None
+        }
+    });
     let node = Node::new(told, clock.now())?;
     let bound = socket::listen(start.listen).and_then(|l| Ok((l.local_addr()?, l)));
     let (address, listener) = bound.map_err(|e| format!("{}: {e}", start.listen))?;
@@ -80,7 +89,21 @@
         built.map(drop).map_err(|e| format!("thread {name}: {e}"))
     };
     let (to_hub, socket) = (news.clone(), names.clone());
-    thread("names", Box::new(move || hear(&socket, &to_hub)))?;
+    thread(
+        "names",
+        Box::new(move || {
+            hear(&socket, names::LONGEST, &to_hub, |from, bytes| News::Datagram { from, bytes })
+        }),
+    )?;
+    if let Some(socket) = peers.clone() {
+        let to_hub = news.clone();
+        // A byte more than is allowed: a longer one is told from one of that length.
+        let room = walnutline_platform::peers::LONGEST + 1;
+        thread(
+            "peers",
+            Box::new(move || hear(&socket, room, &to_hub, |from, bytes| News::Peer { from, bytes })),
+        )?;
+    }
     let mut signals = signal_hook::iterator::Signals::new([
         signal_hook::consts::SIGHUP,
         signal_hook::consts::SIGTERM,
@@ -88,7 +111,7 @@
     ])
     .map_err(|e| format!("signals: {e}"))?;
     socket::accept(listener, news.clone(), gate.clone()).map_err(|e| format!("accept: {e}"))?;
-    let ended = hub::Hub::new(node, clock, names, news.clone(), gate);
+    let ended = hub::Hub::new(node, clock, names, peers, news.clone(), gate);
     thread("hub", Box::new(move || ended.run(&events)))?;
     tracing::info!(target: "walnutline::mode", listen = %address, "node up");
     for signal in signals.forever() {
@@ -111,12 +134,17 @@
 }
 
 /// Hears datagrams. Errors of a socket without a connection tell of earlier sends and are passed over.
-fn hear(socket: &UdpSocket, hub: &crossbeam_channel::Sender<News>) {
-    let mut buffer = vec![0; names::LONGEST];
+fn hear(
+    socket: &UdpSocket,
+    longest: usize,
+    hub: &crossbeam_channel::Sender<News>,
+    news: fn(SocketAddr, Vec<u8>) -> News,
+) {
+    let mut buffer = vec![0; longest];
     loop {
         match socket.recv_from(&mut buffer) {
             Ok((n, from)) => {
-                if hub.send(News::Datagram { from, bytes: buffer[..n].to_vec() }).is_err() {
+                if hub.send(news(from, buffer[..n].to_vec())).is_err() {
                     return;
                 }
             }
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -24,6 +24,11 @@
         to: SocketAddr,
         bytes: Vec<u8>,
     },
+    /// A datagram to all other front nodes.
+    Tell {
+        to: SocketAddr,
+        bytes: Vec<u8>,
+    },
     Log(String),
     Exit,
 }
--- a/crates/platform/src/configuration.rs
+++ b/crates/platform/src/configuration.rs
@@ -12,6 +12,10 @@
     /// File descriptors that the node may hold.
     pub sockets: usize,
     pub names: SocketAddr,
+    /// Where datagrams of other front nodes come in, where they come from, and the address of all of them.
+    pub peer_listen: Option<SocketAddr>,
+    pub peers: Vec<SocketAddr>,
+    pub peers_all: Option<SocketAddr>,
     /// Number of the last change in `servers`.
     pub last: u32,
     pub servers: Vec<ServerLine>,
@@ -39,6 +43,12 @@
     seed: String,
     limits: Limits,
     names: SocketAddr,
+    #[serde(default)]
+    peer_listen: Option<SocketAddr>,
+    #[serde(default)]
+    peers: Vec<SocketAddr>,
+    #[serde(default)]
+    peers_all: Option<SocketAddr>,
     known: Known,
     settings: Value,
 }
@@ -98,6 +108,9 @@
         seed: u64::from_str_radix(&d.seed, 16).map_err(|_| "seed: not a number in hex digits")?,
         sockets: d.limits.sockets,
         names: d.names,
+        peer_listen: d.peer_listen,
+        peers: d.peers,
+        peers_all: d.peers_all,
         last: d.known.no,
         servers: listed(d.known.items)?,
         terms: flat(&d.settings),
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,11 +4,13 @@
 //! - [`viewer`], [`server`]: what the messages of each side mean, and the bytes of those sent to it.
 //! - [`fields`]: the fields of the platform's own.
 //! - [`names`]: queries to the name service and its answers.
+//! - [`peers`]: what front nodes tell each other.
 //! - [`configuration`]: the document a node is started with.
 pub mod configuration;
 pub mod fields;
 pub mod frame;
 pub mod names;
+pub mod peers;
 pub mod server;
 pub mod viewer;
 
--- a/crates/platform/tests/codecs.rs
+++ b/crates/platform/tests/codecs.rs
@@ -210,6 +210,30 @@
     assert_eq!((told.connect_within, told.idle, told.longest_wait), (250.0, 30_000.0, 3_000.0));
 }
 
+#[test]
+fn what_nodes_tell_each_other_comes_back_as_it_was_told() {
+    use walnutline_platform::peers::{hash, read, write, Entry, LONGEST, MOST};
+    let one = |n: usize| Entry {
+        server: hash(&format!("s-{n:08x}")),
+        age: 10.0 * n as f64,
+        streams: 0.5,
+        link: 0.01 * n as f64,
+    };
+    let all: Vec<Entry> = (0..MOST + 5).map(one).collect();
+    let bytes = write(&all);
+    assert!(bytes.len() <= LONGEST && MOST >= walnutline::interface::NEWS_A_MESSAGE);
+    assert_eq!(read(&bytes).unwrap(), all[..MOST]);
+    // Cut short, with bytes to spare, of another version: nothing is told.
+    assert!((0..bytes.len()).all(|n| read(&bytes[..n]).is_none()));
+    assert_eq!(read(&[bytes.as_slice(), &[0]].concat()), None);
+    assert_eq!(read(&[b"wl\x02", &bytes[3..]].concat()), None);
+    let far = Entry { age: 1e9, streams: f64::INFINITY, link: f64::NAN, ..one(1) };
+    assert_eq!(
+        read(&write(&[far])).unwrap()[0],
+        Entry { age: 2_550.0, streams: 255.0 / 128.0, link: 0.0, ..far }
+    );
+}
+
 #[test_case("\"seed\":\"8c1f30d27a5be964\"", "\"seed\":\"x\"" => "seed: not a number in hex digits"; "seed")]
 #[test_case("\"places\":12,", "" => "settings/family_info/places: missing or no number"; "places")]
 #[test_case("\"Gone\"", "\"Lost\"" => "known: s-00000003: lifecycle \"Lost\" is not known"; "lifecycle")]
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -63,7 +63,9 @@
             let seed = r.u64()?;
             let len = r.u32()? as usize;
             let info = std::str::from_utf8(r.take(len)?).map_err(|e| format!("settings: {e}"))?;
-            let terms = Terms::parse(info).map_err(|e| format!("settings: {e}"))?;
+            let mut terms = Terms::parse(info).map_err(|e| format!("settings: {e}"))?;
+            // This adapter carries no messages between fronts.
+            terms.may_tell = false;
             self.instances.insert(who, Desk::new(terms, seed, now));
             return Ok(Some(who));
         }
@@ -213,6 +215,7 @@
             Action::TornDown { id } => {
                 reply.record(8, who).put(&id.0.to_le_bytes());
             }
+            Action::Tell(_) => {}
             Action::Log(line) => {
                 reply.record(11, who).put(&(line.len() as u16).to_le_bytes()).put(line.as_bytes());
             }
--- a/src/front.rs
+++ b/src/front.rs
@@ -34,6 +34,9 @@
     /// Probes to send, and the one that the session in hand waits for.
     pub probes: Vec<ServerId>,
     pub asking: Option<ServerId>,
+    /// Requests taken since this front last told its news, and the servers asked for the next time, since when.
+    pub untold: Option<f64>,
+    pub telling: Option<(Vec<ServerId>, Ms)>,
     pub log: Vec<String>,
 }
 
@@ -51,6 +54,8 @@
             rungs: Vec::new(),
             probes: Vec::new(),
             asking: None,
+            untold: None,
+            telling: None,
             log: Vec::new(),
         }
     }
@@ -84,6 +89,7 @@
         if self.terms.budget.is_some() {
             self.taken.push_back(now);
         }
+        self.untold = self.untold.map(|n| n + 1.0);
         hand.sess.insert(id, self.session(r, now));
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -39,12 +39,29 @@
     }
 }
 
+/// Servers that one message between fronts has room for.
+pub const NEWS_A_MESSAGE: usize = 40;
+
+/// What one front tells the others of a server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct News {
+    pub server: ServerId,
+    /// Streams that it runs or sets up, as a share of the most that it runs.
+    pub streams: f64,
+    /// What is asked of its link over what it gives.
+    pub link: f64,
+    /// How long ago that was heard.
+    pub age: Ms,
+}
+
 /// What is due now, and when to ask again.
 #[derive(Debug, Default, PartialEq)]
 pub struct Due {
     pub rungs: Vec<(SessId, u8)>,
     pub probes: Vec<ServerId>,
     pub place: Vec<SessId>,
+    /// To be told to all other fronts, in one message.
+    pub tell: Vec<News>,
     pub log: Vec<String>,
     pub again_at: Ms,
 }
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -76,6 +76,8 @@
     pub columns: Vec<Column>,
     pub probe_fed: bool,
     pub may_probe: bool,
+    /// Whether fronts may send each other messages, and the caller carries them.
+    pub may_tell: bool,
     pub tells_return: bool,
     pub max_return: Ms,
     pub max_setups: u16,
@@ -181,6 +183,7 @@
             columns: columns.split(',').filter(|c| !c.is_empty()).map(column).collect(),
             probe_fed: told.text("reporting.via") == Some("pull"),
             may_probe: told.text("limits.probes") == Some("true"),
+            may_tell: told.text("limits.peer_messages") == Some("true"),
             tells_return: told.text("limits.retry_after") == Some("true"),
             max_return: told.opt("limits.max_retry_after")?.unwrap_or(0.0),
             max_setups: told.need("limits.attempts_cap")?,
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -32,6 +32,7 @@
         columns: vec![Column::Streams, Column::Link],
         probe_fed: true,
         may_probe: true,
+        may_tell: false,
         tells_return: true,
         max_return: 500.0,
         max_setups: 4,
