More servers than descriptors are served in turn; lists of any size and zones of any number

Need: the operators' trial has some hundreds of servers; limits may be 256 descriptors. limits::lines bounded further connections only, a first one to each server was always opened; an answer of the name service over 8,192 bytes was cut and looked spoilt; a zone that the settings do not name counted as the first one, so that what may be repeated within a zone only could be repeated elsewhere.

Change: at the bound the connection least needed is let go; where sessions stand without one, one is opened again within 3 s, so that releases come in time. Datagrams of any length are read. Zones are numbered as they are named, beyond 256 too.

--- a/crates/front/src/list.rs
+++ b/crates/front/src/list.rs
@@ -93,7 +93,7 @@
 fn line(line: Line) -> (BoxLine, String) {
     let listed = Listed {
         id: ServerId(line.id),
-        zone: ZoneNo(line.building),
+        zone: ZoneNo(line.building.into()),
         kind: KindNo(line.kind),
         // Holders are named in requests; of cells only the rack is wanted.
         cell: CellNo(line.rack),
--- a/crates/node/src/core/care.rs
+++ b/crates/node/src/core/care.rs
@@ -84,7 +84,12 @@
         overdue.into_iter().for_each(|conn| self.close_line(conn, now));
         let mut close = Vec::new();
         let mut test = Vec::new();
-        for s in self.servers.values() {
+        let mut again = Vec::new();
+        for (id, s) in &self.servers {
+            // What ended there is told on the next connection opened, and owed to a viewer in time.
+            if s.lines.is_empty() && !s.standing.is_empty() && now - s.parted >= limits::PARTED {
+                again.push(*id);
+            }
             let used = !s.standing.is_empty();
             let up: Vec<ConnId> =
                 s.lines.iter().copied().filter(|c| self.lines.get(c).is_some_and(|l| l.up)).collect();
@@ -108,6 +113,7 @@
                 }
             }
         }
+        again.into_iter().for_each(|id| self.keep_up(id, now));
         test.into_iter().for_each(|conn| self.test(conn, Test::There, now));
         close.into_iter().for_each(|conn| self.close_line(conn, now));
     }
--- a/crates/node/src/core/list.rs
+++ b/crates/node/src/core/list.rs
@@ -79,11 +79,18 @@
         for line in lines {
             let id = self.server_id(&line, now);
             there.insert(id);
-            let position = |of: &[String], name: &str| of.iter().position(|n| n == name).unwrap_or(0);
+            // A zone that the settings do not name is one of its own: taken for another one, what may only be repeated
+            // within a zone would be repeated elsewhere.
+            let zones = &mut self.told.zones;
+            let zone = zones.iter().position(|z| *z == line.zone).unwrap_or_else(|| {
+                zones.push(line.zone.clone());
+                zones.len() - 1
+            });
+            let kind = self.told.kinds.iter().position(|k| *k == line.kind).unwrap_or(0);
             listed.push(Listed {
                 id,
-                zone: ZoneNo(position(&self.told.zones, &line.zone) as u8),
-                kind: KindNo(position(&self.told.kinds, &line.kind) as u8),
+                zone: ZoneNo(u16::try_from(zone).unwrap_or(u16::MAX)),
+                kind: KindNo(u8::try_from(kind).unwrap_or(0)),
                 cell: CellNo(line.cell),
                 listing: if line.draining { Listing::Draining } else { Listing::Ready },
                 weight: line.weight,
@@ -146,6 +153,7 @@
             heard: now,
             process: now,
             broke: Ms::NEG_INFINITY,
+            parted: Ms::NEG_INFINITY,
             fails: 0,
             retry: Retry::default(),
         };
--- a/crates/node/src/core/servers.rs
+++ b/crates/node/src/core/servers.rs
@@ -28,6 +28,8 @@
     pub process: Ms,
     /// When a connection to it last ended, or did not come up.
     pub broke: Ms,
+    /// When one was last closed for want of room.
+    pub parted: Ms,
     /// Connections in a row that did not come up.
     pub fails: u32,
     pub retry: Retry,
@@ -63,6 +65,9 @@
     // ---- opening and closing ----
 
     fn connect(&mut self, server: ServerId, now: Ms) -> Option<ConnId> {
+        if self.lines.len() >= self.most_lines && !self.make_room(now) {
+            return None;
+        }
         let address = self.servers.get(&server)?.address;
         let conn = self.conn();
         self.servers.get_mut(&server)?.lines.push(conn);
@@ -84,6 +89,28 @@
         Some(conn)
     }
 
+    /// With as many connections as there is room for, the one that can best be done without is closed: of those with
+    /// nothing out, one where no session stands, then the one longest unused. What a server tells of a session
+    /// waits for the next connection; the sweep sees to it that there is one in time.
+    fn make_room(&mut self, now: Ms) -> bool {
+        let stands = |l: &Line| self.servers.get(&l.server).is_some_and(|s| !s.standing.is_empty());
+        let idle = self.lines.iter().filter(|(_, l)| l.up && l.out.is_empty() && l.tests.is_empty());
+        let victim = idle.min_by(|(_, a), (_, b)| stands(a).cmp(&stands(b)).then(a.used.total_cmp(&b.used)));
+        let Some((conn, server)) = victim.map(|(conn, l)| (*conn, l.server)) else { return false };
+        self.let_go(conn, server, now);
+        true
+    }
+
+    /// Closes a connection that is well: nothing is proved by its end.
+    fn let_go(&mut self, conn: ConnId, server: ServerId, now: Ms) {
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.lines.retain(|c| *c != conn);
+            s.parted = now;
+        }
+        self.lines.remove(&conn);
+        self.dos.push(Do::Close { conn });
+    }
+
     /// Sees to it that a server has a connection, or one that is being opened.
     pub(super) fn keep_up(&mut self, server: ServerId, now: Ms) {
         if self.servers.get(&server).is_some_and(|s| s.lines.is_empty() && s.listing != Listing::Gone) {
@@ -107,9 +134,7 @@
         // would else gather one more with each test.
         if s.lines.len() > limits::LINES && waiting.is_empty() && probes == 0 {
             // Not as one that broke: nothing was sent on it, and no other one is opened for it.
-            s.lines.retain(|c| *c != conn);
-            self.lines.remove(&conn);
-            return self.dos.push(Do::Close { conn });
+            return self.let_go(conn, server, now);
         }
         for bytes in std::mem::take(&mut s.unsent).into_values() {
             self.dos.push(Do::Write { conn, bytes });
@@ -193,7 +218,8 @@
         let free = best.filter(|c| load(c).1 == 0);
         let room = s.lines.is_empty() || s.lines.len() < limits::LINES && self.lines.len() < self.most_lines;
         let Some(conn) = free.or_else(|| if room { self.connect(server, now) } else { best }) else {
-            return self.setup_ended(id, Ending::NoConnection, now);
+            // No room here: that is not the server's fault.
+            return self.setup_ended(id, Ending::NeverSent, now);
         };
         let Some(sess) = self.sess.get_mut(&id) else { return };
         sess.setups += 1;
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -17,6 +17,9 @@
 pub const LINES: usize = 4;
 /// A further connection to a server that was idle for so long is closed.
 pub const SPARE_IDLE: Ms = 5_000.0;
+/// Where there are more servers than room for connections, one where sessions stand is without for so long at most:
+/// releases are owed within 8 s of a session's end.
+pub const PARTED: Ms = 3_000.0;
 /// Share of the platform's idle time after which a connection is closed from here, before its server does:
 /// a set-up would cross the server's close.
 pub const IDLE_SHARE: f64 = 0.8;
@@ -64,8 +67,7 @@
     sockets.saturating_sub(kept).max(sockets / 3).max(8)
 }
 
-/// How many connections to servers there may be before one that has a connection gets no further ones: servers
-/// that go and their successors are there at the same time.
+/// How many connections to servers there may be, whatever the number of servers.
 pub fn lines(sockets: usize, viewers: usize) -> usize {
-    sockets.saturating_sub(OWN_DESCRIPTORS + viewers)
+    sockets.saturating_sub(OWN_DESCRIPTORS + viewers).max(4)
 }
--- a/crates/platform/src/names.rs
+++ b/crates/platform/src/names.rs
@@ -7,8 +7,9 @@
 
 /// What is asked for.
 pub const LIST: &str = "_data._tcp.farm.lan";
-/// Longest answer that is taken, in bytes.
-pub const LONGEST: usize = 8_192;
+/// Longest answer that is taken, in bytes: any datagram. The platform's are of 8,000 at most, which holds some dozens of
+/// servers; a longer one that arrives whole is as good.
+pub const LONGEST: usize = 65_535;
 /// Records tell ten times the weight.
 const WEIGHT_SCALE: f64 = 10.0;
 
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -251,7 +251,7 @@
     let (weight, started) = (r.f32()? as f64, r.f64()?);
     Ok(Listed {
         id: ServerId(id),
-        zone: ZoneNo(zone),
+        zone: ZoneNo(zone.into()),
         kind: KindNo(kind),
         cell: CellNo(cell as u32),
         listing,
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -18,7 +18,7 @@
     /// Position of a service group in the terms.
     GroupNo(u16),
     /// Position of a zone in the terms.
-    ZoneNo(u8),
+    ZoneNo(u16),
     /// Position of a kind of machine in the terms.
     KindNo(u8),
     /// A cell: tells the titles held and the rack.
