Fronts tell on only what they were answered themselves; longer aside where others tell

Seen in the code while looking for the lost request: peer_told stamped news with the time it came in, and tell took any fresh news for an answer of its own, so that news of a dead server could be passed on for ever and keep its sessions up (Server::heard in the core). Now news keeps the time of its answer, and only own answers are told. A server set aside is tried by this front after 4 s instead of 1 where fronts tell each other: the others' answers come sooner and cost nothing.

--- a/crates/node/src/edge/hub.rs
+++ b/crates/node/src/edge/hub.rs
@@ -130,16 +130,19 @@
 
     fn perform_one(&mut self, what: Do) {
         match what {
-            Do::Connect { conn, address } => match socket::connect(conn, address, self.clock, &self.news) {
-                Ok(socket) => {
-                    self.open.insert(conn, Open { socket, backlog: Vec::new() });
-                }
-                Err(e) => {
-                    let refused = e.kind() == std::io::ErrorKind::ConnectionRefused;
-                    let end = if refused { End::Refused } else { End::Closed };
-                    self.node.closed(conn, end, self.clock.now());
+            Do::Connect { conn, address } => {
+                tracing::trace!(target: "walnutline::bytes", conn = conn.0, "connect {address}");
+                match socket::connect(conn, address, self.clock, &self.news) {
+                    Ok(socket) => {
+                        self.open.insert(conn, Open { socket, backlog: Vec::new() });
+                    }
+                    Err(e) => {
+                        let refused = e.kind() == std::io::ErrorKind::ConnectionRefused;
+                        let end = if refused { End::Refused } else { End::Closed };
+                        self.node.closed(conn, end, self.clock.now());
+                    }
                 }
-            },
+            }
             Do::Write { conn, bytes } => self.write(conn, &bytes),
             Do::Close { conn } => {
                 tracing::trace!(target: "walnutline::bytes", conn = conn.0, "close");
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -52,6 +52,8 @@
 /// How long a server is set aside from its first failure in a row, doubled for each further one, and at most.
 const ASIDE: Ms = 1_000.0;
 const ASIDE_MOST: Ms = 8_000.0;
+/// Where fronts tell each other, one that answers again is heard of sooner than it could be asked.
+const ASIDE_TOLD: Ms = 4_000.0;
 /// Share of a cold server's budget that all fronts may count on.
 const COLD_CERTAIN: f64 = 0.9;
 /// A holder whose news is older than this is asked by a probe before a session goes there, for so long, at so
@@ -90,6 +92,9 @@
 
     /// A load report, its values in the order of the terms' columns.
     pub fn report(&mut self, hand: &mut Hand, server: ServerId, values: &[f64], now: Ms) {
+        if let (true, Some(s)) = (values.iter().any(|v| sound(*v)), self.fleet.servers.get_mut(&server)) {
+            s.reported = now;
+        }
         let columns = self.terms.columns.clone();
         for (column, &v) in columns.iter().zip(values) {
             match column {
@@ -144,7 +149,7 @@
             let there = |s: &Sess| self.on_line(s, line);
             let since = hand.grown_since(&self.terms, there, at - self.terms.share_delay) / self.kb(line);
             // The front that tells it has merged it already.
-            self.heard(hand, line, (n.link + since).max(0.0), 1.0, now);
+            self.heard(hand, line, (n.link + since).max(0.0), 1.0, at, now);
         }
     }
 
@@ -159,12 +164,14 @@
         }
         let servers = &self.fleet.servers;
         let heard = |id: &ServerId| servers.get(id).and_then(|s| s.link).map_or(Ms::NEG_INFINITY, |l| l.at);
+        // Only what this front was answered itself: news passed on and on would never end, that of a dead server too.
+        let answered = |id: &ServerId| servers.get(id).map_or(Ms::NEG_INFINITY, |s| s.reported);
         if let Some((asked, since)) = &self.telling {
-            if now - since < ASK_WAIT && asked.iter().any(|id| heard(id) < *since) {
+            if now - since < ASK_WAIT && asked.iter().any(|id| answered(id) < *since) {
                 due.again_at = due.again_at.min(since + ASK_WAIT);
                 return;
             }
-            for id in asked.iter().filter(|id| heard(id) >= *since) {
+            for id in asked.iter().filter(|id| answered(id) >= *since) {
                 let s = &servers[id];
                 let most = self.terms.kind_streams.get(s.listed.kind.0 as usize).copied().unwrap_or(1.0);
                 let streams = s.streams.map_or(0.0, |seen| seen.value) / most;
@@ -173,7 +180,7 @@
                     streams,
                     link: s.link.map_or(0.0, |l| l.value),
                     since: 0.0,
-                    age: now - heard(id),
+                    age: now - answered(id),
                 });
             }
             self.telling = None;
@@ -203,14 +210,14 @@
         let there = |s: &Sess| self.on_line(s, line);
         let since = hand.grown_since(&self.terms, there, now - self.terms.share_delay) / self.kb(line);
         if sound(use_) {
-            self.heard(hand, line, (use_ + since).max(0.0), MERGE, now);
+            self.heard(hand, line, (use_ + since).max(0.0), MERGE, now, now);
         }
     }
 
     /// News of a line enters the table, merged by its weight with what the table expected. Above 1.0 the
     /// newest sessions there are stepped down until this front's own load fits: every front sheds its own
     /// part of what is too much. Just after that, what is told is still of the time before and stays out.
-    fn heard(&mut self, hand: &mut Hand, line: Line, told: f64, weight: f64, now: Ms) {
+    fn heard(&mut self, hand: &mut Hand, line: Line, told: f64, weight: f64, at: Ms, now: Ms) {
         let own = self.own_kb(&hand.loads(&self.terms), line);
         let size = self.kb(line);
         let Some((seen, settled_at)) = self.fleet.line(line) else { return };
@@ -221,8 +228,8 @@
             Some(old) if now - old.at < STALE => weight * told + (1.0 - weight) * moved_on(old, own, size),
             _ => told,
         };
-        let since = seen.map_or(Ms::INFINITY, |old| now - old.at);
-        *seen = Some(Seen { value: use_, at: now, own });
+        let since = seen.map_or(Ms::INFINITY, |old| at - old.at);
+        *seen = Some(Seen { value: use_, at, own });
         if let Line::Link(id) = line {
             // What was filled within the delay of news is not in it yet.
             let gain = (since / (self.terms.share_delay * (1.0 + SETTLE)).max(1.0)).min(1.0);
@@ -248,7 +255,7 @@
         let asked = 1.0 / share.max(LEAST_SHARE);
         // Once it is enough again, only what was heard of a shortage no longer stands.
         if share < SHORT || self.link_use(&hand.loads(&self.terms), server) > asked {
-            self.heard(hand, Line::Link(server), asked, 1.0, now);
+            self.heard(hand, Line::Link(server), asked, 1.0, now, now);
         }
     }
 
@@ -698,7 +705,8 @@
                     // Its process may be gone: it is cold when it answers again, whatever the list says.
                     (r.died, r.back) = (Some(now), None);
                 }
-                r.aside_until = now + (ASIDE * 2f64.powi(r.fails.min(10) as i32 - 1)).min(ASIDE_MOST);
+                let first = if self.terms.may_tell { ASIDE_TOLD } else { ASIDE };
+                r.aside_until = now + (first * 2f64.powi(r.fails.min(10) as i32 - 1)).min(ASIDE_MOST);
                 self.log.push(format!("server aside server={} fails={} last={how:?}", server.0, r.fails));
             }
         }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -47,6 +47,8 @@
     /// Failures in a row, and until when it is set aside for them.
     pub fails: u32,
     pub aside_until: Ms,
+    /// When it last answered this front with a report.
+    pub reported: Ms,
     /// Its last failure.
     pub failed: Ms,
     /// Until when a busy reply of it counts.
@@ -72,6 +74,7 @@
             streams: None,
             fails: 0,
             aside_until: Ms::NEG_INFINITY,
+            reported: Ms::NEG_INFINITY,
             failed: Ms::NEG_INFINITY,
             busy_until: Ms::NEG_INFINITY,
             died: None,
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -195,6 +195,10 @@
         f.report(&mut h, ServerId(id), &[10.0, 0.7], now + 10.0);
     }
     assert!(f.wait(&mut h, now + 20.0).tell.is_empty(), "one has not answered yet");
+    // What another front says of it is not this one's to pass on: guards against a dead server told of for ever.
+    let news =
+        walnutline::interface::News { server: ServerId(2), streams: 0.5, link: 0.5, age: 0.0, since: 0.0 };
+    f.peer_told(&mut h, &[news], now + 30.0);
     let told = f.wait(&mut h, now + 200.0).tell;
     assert_eq!(told.iter().map(|n| (n.server.0, n.age)).collect::<Vec<_>>(), [(0, 190.0), (1, 190.0)]);
     assert!((told[0].link - 0.6).abs() < 1e-9 && (told[0].streams - 0.5).abs() < 1e-9, "{told:?}");
