--- a/crates/node/src/core/servers.rs
+++ b/crates/node/src/core/servers.rs
@@ -64,7 +64,7 @@
 impl Node {
     // ---- opening and closing ----
 
-    pub(super) fn connect(&mut self, server: ServerId, now: Ms) -> Option<ConnId> {
+    fn connect(&mut self, server: ServerId, now: Ms) -> Option<ConnId> {
         if self.lines.len() >= self.most_lines && !self.make_room(now) {
             return None;
         }
@@ -123,30 +123,16 @@
         let Some(line) = self.lines.get_mut(&conn) else { return };
         (line.up, line.used) = (true, now);
         let (server, waiting, probes) = (line.server, line.out.clone(), std::mem::take(&mut line.probes));
-        let opened = line.opened;
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.fails = 0;
         s.retry.worked();
-        // Heard just before, and it takes a connection: a process that ends is gone for longer.
-        let same = now - s.heard < limits::SAME_PROCESS;
-        if !same {
-            s.process = opened;
-        }
-        let older = s.lines.iter().copied().filter(|c| *c != conn);
-        let idle = |c: &ConnId| {
-            self.lines.get(c).is_some_and(|l| l.up && l.out.is_empty() && l.tests.is_empty() && l.probes == 0)
-        };
-        let older: Vec<ConnId> = older.filter(idle).collect();
-        let many = s.lines.len() > limits::LINES;
-        if same {
+        // Connections reset, and taken again at once: a process that ends is gone for longer.
+        if now - s.heard < limits::SAME_PROCESS {
             self.desk.lives(server, Ms::NEG_INFINITY);
-            // It replaces those that have nothing out.
-            older.into_iter().for_each(|old| self.let_go(old, server, now));
         }
-        let Some(s) = self.servers.get_mut(&server) else { return };
         // It was to tell whether a silent machine is there, and has told: a process that stands still for long
         // would else gather one more with each test.
-        if many && !same && waiting.is_empty() && probes == 0 {
+        if s.lines.len() > limits::LINES && waiting.is_empty() && probes == 0 {
             // Not as one that broke: nothing was sent on it, and no other one is opened for it.
             return self.let_go(conn, server, now);
         }
@@ -359,7 +345,7 @@
         line.used = now;
         let opened = line.opened;
         if let Some(s) = self.servers.get_mut(&server) {
-            s.heard = now;
+            (s.heard, s.process) = (now, opened);
             // A connection of before, on which something comes long after: what looked like an end was none.
             if opened < s.broke && now - s.broke > limits::ON_ITS_WAY {
                 self.desk.lives(server, opened);
