A viewer that sends without end no longer holds up the others for seconds

The reader of a connection (edge/socket.rs, read) went on as long as bytes came and then waited in crossbeam's send, which blocks the one thread of all coroutines; up to 512 pieces of one peer stood before everything else in the hub's queue.

A connection has at most limits::PIECES pieces that the hub has not handled; its coroutine waits beyond and lets others run. The new test fails without it: the flood fills the queue and the other connection is never heard.

--- a/crates/node/src/edge/hub.rs
+++ b/crates/node/src/edge/hub.rs
@@ -96,11 +96,12 @@
                 self.perform();
             }
             News::Connected(conn) => self.node.connected(conn, now),
-            News::Bytes { conn, at, bytes } => {
+            News::Bytes { conn, at, bytes, piece } => {
                 if self.open.contains_key(&conn) {
                     tracing::trace!(target: "walnutline::bytes", conn = conn.0, "in {}", bytes.escape_ascii());
                     self.node.bytes(conn, &bytes, at, now);
                 }
+                drop(piece);
             }
             News::Closed { conn, end } => {
                 tracing::trace!(target: "walnutline::bytes", conn = conn.0, "closed {end:?}");
--- a/crates/node/src/edge/mod.rs
+++ b/crates/node/src/edge/mod.rs
@@ -26,7 +26,7 @@
 pub(crate) enum News {
     Accepted(Arc<socket::Socket>),
     Connected(ConnId),
-    Bytes { conn: ConnId, at: Ms, bytes: Vec<u8> },
+    Bytes { conn: ConnId, at: Ms, bytes: Vec<u8>, piece: socket::Piece },
     Closed { conn: ConnId, end: End },
     Datagram { from: SocketAddr, bytes: Vec<u8> },
     Peer { from: SocketAddr, bytes: Vec<u8> },
--- a/crates/node/src/edge/socket.rs
+++ b/crates/node/src/edge/socket.rs
@@ -5,6 +5,7 @@
 use crate::limits;
 use crossbeam_channel::Sender;
 use may::io::{CoIo, WaitIo};
+use may::sync::Semphore;
 use socket2::{Domain, Protocol, SockAddr, Type};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -30,11 +31,23 @@
     stream: TcpStream,
     /// The gate that this connection came in by.
     gate: Option<Arc<Gate>>,
+    /// Pieces that may still be read before the hub has handled earlier ones.
+    pieces: Semphore,
+}
+
+/// A piece read from a connection that the hub has not handled yet.
+pub(crate) struct Piece(Arc<Socket>);
+
+impl Drop for Piece {
+    fn drop(&mut self) {
+        self.0.pieces.post();
+    }
 }
 
 impl Socket {
     fn new(stream: TcpStream, gate: Option<Arc<Gate>>) -> io::Result<Self> {
-        Ok(Socket { io: CoIo::new(Polled(stream.as_raw_fd()))?, stream, gate })
+        let pieces = Semphore::new(limits::PIECES);
+        Ok(Socket { io: CoIo::new(Polled(stream.as_raw_fd()))?, stream, gate, pieces })
     }
 
     /// Writes what the socket takes now.
@@ -210,13 +223,17 @@
     }
 }
 
-fn read(conn: ConnId, socket: &Socket, clock: Clock, hub: &Sender<News>) {
+fn read(conn: ConnId, socket: &Arc<Socket>, clock: Clock, hub: &Sender<News>) {
     let mut buffer = [0; limits::PIECE];
     loop {
+        // A peer that sends without end waits for its own pieces here: it fills neither the hub's queue, nor the one
+        // thread that all coroutines share.
+        socket.pieces.wait();
+        let piece = Piece(socket.clone());
         match (&socket.stream).read(&mut buffer) {
             Ok(0) => return,
             Ok(n) => {
-                let news = News::Bytes { conn, at: clock.now(), bytes: buffer[..n].to_vec() };
+                let news = News::Bytes { conn, at: clock.now(), bytes: buffer[..n].to_vec(), piece };
                 if hub.send(news).is_err() {
                     return;
                 }
@@ -266,6 +283,37 @@
         assert!(weak.upgrade().is_none(), "the descriptor is still held");
     }
 
+    /// A peer sends without end and the hub handles none of it: another one is still heard.
+    #[test]
+    fn who_sends_without_end_has_few_pieces_in_the_queue() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (hub, news) = crossbeam_channel::bounded(limits::PIECES * 2);
+        let flood = connect(ConnId(1), address, Clock::start(), &hub).unwrap();
+        let (mut sends, _) = listener.accept().unwrap();
+        let sender = std::thread::spawn(move || while sends.write_all(&[0; limits::PIECE]).is_ok() {});
+        // What is handed over is kept, so that none of it counts as handled.
+        let mut kept = Vec::new();
+        let bytes = |kept: &mut Vec<News>| loop {
+            match news.recv_timeout(Duration::from_secs(10)).expect("news") {
+                more @ News::Bytes { conn, .. } => {
+                    kept.push(more);
+                    return conn.0;
+                }
+                _ => continue,
+            }
+        };
+        (0..limits::PIECES).for_each(|_| assert_eq!(bytes(&mut kept), 1));
+        let other = connect(ConnId(2), address, Clock::start(), &hub).unwrap();
+        listener.accept().unwrap().0.write_all(b"x").unwrap();
+        assert_eq!(bytes(&mut kept), 2);
+        kept.clear();
+        assert_eq!(bytes(&mut kept), 1, "read on once they are handled");
+        [&flood, &other].iter().for_each(|s| s.shut());
+        drop((kept, news));
+        sender.join().unwrap();
+    }
+
     /// Connections that end while others begin: each new one is read, whatever number its descriptor has.
     #[test]
     fn descriptors_used_again_are_still_polled() {
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -63,6 +63,9 @@
 /// Events that wait for the core, each of at most a piece of bytes read at once. Readers stand still beyond.
 pub const QUEUE: usize = 512;
 pub const PIECE: usize = 4_096;
+/// Pieces of one connection that wait for the core. Its reader stands still beyond: one peer alone would fill the queue
+/// and hold up all others for as long as it sends.
+pub const PIECES: usize = 4;
 
 /// How many connections of viewers are held at once.
 pub fn viewers(sockets: usize, servers: usize) -> usize {
