A process that only other nodes heard no longer passes for the one that was here

By reading: connected() took a connection that comes up within a second of the server's last word for the same process, but the last word (Server::heard) is also set by other nodes' datagrams. A new process that had answered another node within that second, and is cold, counted as warm in this one: the cold-server rule. Only what was said here counts now (Server::said). The new test fails without it.

--- a/crates/node/src/core/list.rs
+++ b/crates/node/src/core/list.rs
@@ -151,6 +151,7 @@
             standing: BTreeSet::new(),
             unsent: BTreeMap::new(),
             heard: now,
+            said: Ms::NEG_INFINITY,
             process: now,
             broke: Ms::NEG_INFINITY,
             parted: Ms::NEG_INFINITY,
--- a/crates/node/src/core/servers.rs
+++ b/crates/node/src/core/servers.rs
@@ -23,7 +23,10 @@
     pub standing: BTreeSet<SessId>,
     /// Messages on sessions there that wait for a connection: the last one of each.
     pub unsent: BTreeMap<SessId, Vec<u8>>,
+    /// When it last said something, here or to another node.
     pub heard: Ms,
+    /// When it last said something here.
+    pub said: Ms,
     /// When the connection was opened that was last heard on: its process is at least as old.
     pub process: Ms,
     /// When a connection to it last ended, or did not come up.
@@ -126,8 +129,9 @@
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.fails = 0;
         s.retry.worked();
-        // Connections reset, and taken again at once: a process that ends is gone for longer.
-        if now - s.heard < limits::SAME_PROCESS {
+        // Connections reset, and taken again at once: a process that ends is gone for longer. What another node
+        // heard may be the new one already.
+        if now - s.said < limits::SAME_PROCESS {
             self.desk.lives(server, Ms::NEG_INFINITY);
         }
         // It was to tell whether a silent machine is there, and has told: a process that stands still for long
@@ -353,7 +357,7 @@
         line.used = now;
         let opened = line.opened;
         if let Some(s) = self.servers.get_mut(&server) {
-            (s.heard, s.process) = (now, opened);
+            (s.heard, s.said, s.process) = (now, now, opened);
             // A connection of before, on which something comes long after: what looked like an end was none.
             if opened < s.broke && now - s.broke > limits::ON_ITS_WAY {
                 self.desk.lives(server, opened);
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -278,20 +278,43 @@
     assert!(w.servers.len() <= 2 * limits::LINES + 1, "{}", w.servers.len());
 }
 
+const PEER: &str = "127.0.0.3:7946";
+
+/// A configuration that names another node.
+fn with_peers() -> String {
+    let to = format!("\"peer_listen\":\"127.0.0.1:7946\",\"peers\":[\"{PEER}\"],\"peers_all\":\"127.0.0.9:7946\",\"names\":");
+    NODE.replace("\"names\":", &to).replace("\"probes\":true", "\"probes\":true,\"peer_messages\":true")
+}
+
+/// Guards against a new process, still cold, that passes for the old one because it answered another node already.
+#[test]
+fn what_another_node_heard_proves_no_life_here() {
+    use walnutline_platform::peers::{hash, write, Entry};
+    let mut w = World::with(&with_peers());
+    let (_, server) = w.standing(1);
+    w.open_at_once = false;
+    let id = *w.node.desk.front.fleet.servers.keys().next().unwrap();
+    w.pass(limits::SAME_PROCESS * 1.5);
+    w.ends(server, End::Closed);
+    w.node.desk.front.fleet.servers.get_mut(&id).unwrap().died = Some(w.now);
+    let entry = |server| Entry { server: hash(server), age: 20.0, streams: 0.5, link: 0.44, since: 0.0 };
+    w.pass(50.0);
+    w.node.peer(PEER.parse().unwrap(), &write(&[entry("s-00000001"), entry("s-00000002")]), w.now);
+    w.run();
+    let next = w.connecting.pop().expect("opened anew");
+    w.node.connected(next, w.now);
+    assert!(w.node.desk.front.fleet.servers[&id].died.is_some());
+}
+
 /// Guards against 300 nodes that each test a server every two seconds: ten tests for each probe on a calm day.
 #[test]
 fn a_server_that_answered_another_node_is_not_tested() {
     use walnutline_platform::peers::{hash, write, Entry};
-    let document = NODE.replace(
-        "\"names\":",
-        "\"peer_listen\":\"127.0.0.1:7946\",\"peers\":[\"127.0.0.3:7946\"],\"peers_all\":\"127.0.0.9:7946\",\"names\":",
-    );
-    let document = document.replace("\"probes\":true", "\"probes\":true,\"peer_messages\":true");
-    let (peer, stranger) = ("127.0.0.3:7946".parse().unwrap(), "127.0.0.4:7946".parse().unwrap());
+    let (peer, stranger) = (PEER.parse().unwrap(), "127.0.0.4:7946".parse().unwrap());
     let entry = |server| Entry { server: hash(server), age: 20.0, streams: 0.5, link: 0.44, since: 0.0 };
     let told = write(&[entry("s-00000001"), entry("s-00000002"), entry("nobody")]);
     for (from, tested) in [(peer, false), (stranger, true)] {
-        let mut w = World::with(&document);
+        let mut w = World::with(&with_peers());
         w.standing(1);
         w.out.clear();
         for _ in 0..8 {
