--- a/crates/node/src/core/servers.rs
+++ b/crates/node/src/core/servers.rs
@@ -483,14 +483,9 @@
     /// A server tells that a session is over, or that a set-up broke. It may tell so more than once.
     fn released(&mut self, conn: ConnId, server: ServerId, id: SessId, cause: Option<u32>, now: Ms) {
         match self.sess.get(&id).map(|s| &s.stage) {
-            Some(Stage::Stands { server: at, since, .. }) if *at == server => match cause {
+            Some(Stage::Stands { server: at, .. }) if *at == server => match cause {
                 Some(fields::ENDED) => self.over(id, Ending::Done, Some(fields::ENDED), now),
-                Some(fields::WITHDRAWN) => {
-                    // A viewer that ended it is owed nothing. But one whose answer was still on its way has ended
-                    // nothing that it knew of: it would take the answer for a session that stands.
-                    let unheard = now - since <= limits::ON_ITS_WAY;
-                    self.over(id, Ending::Withdrawn, unheard.then_some(fields::CUT), now)
-                }
+                Some(fields::WITHDRAWN) => self.over(id, Ending::Withdrawn, None, now),
                 _ => self.over(id, Ending::Broken, Some(fields::CUT), now),
             },
             Some(Stage::Asked { out: Some(out), .. }) if out.line == conn => {
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -35,7 +35,7 @@
 pub const TEST_WAIT: Ms = 1_200.0;
 /// A process that ends is not replaced within this time: one that was heard and takes a connection again is the same.
 pub const SAME_PROCESS: Ms = 1_000.0;
-/// What was on its way from a process that ended, or to a viewer, has come in by then.
+/// What was on its way from a process that ended has come in by then.
 pub const ON_ITS_WAY: Ms = 250.0;
 /// Releases that found no viewer's connection are kept for so long, and so many of them.
 pub const RELEASE_KEPT: Ms = 8_000.0;
