No further connections where sessions stand: the lost request is no lost release

Ruled out: a lost release, the viewer's connection (it stayed open), the time (45 of 1018 ms). Put as a question to the operators.

--- a/crates/node/src/core/care.rs
+++ b/crates/node/src/core/care.rs
@@ -84,20 +84,12 @@
         overdue.into_iter().for_each(|conn| self.close_line(conn, now));
         let mut close = Vec::new();
         let mut test = Vec::new();
-        let (mut again, mut fresh) = (Vec::new(), Vec::new());
+        let mut again = Vec::new();
         for (id, s) in &self.servers {
             // What ended there is told on the next connection opened, and owed to a viewer in time.
             if s.lines.is_empty() && !s.standing.is_empty() && now - s.parted >= limits::PARTED {
                 again.push(*id);
             }
-            // A release may be lost on a connection that stays open; it comes again on the next one only.
-            let newest = s.lines.iter().filter_map(|c| self.lines.get(c)).map(|l| l.opened);
-            if !s.standing.is_empty()
-                && !s.lines.is_empty()
-                && now - newest.fold(Ms::NEG_INFINITY, Ms::max) >= limits::FRESH
-            {
-                fresh.push(*id);
-            }
             let used = !s.standing.is_empty();
             let up: Vec<ConnId> =
                 s.lines.iter().copied().filter(|c| self.lines.get(c).is_some_and(|l| l.up)).collect();
@@ -121,9 +113,6 @@
                 }
             }
         }
-        for id in fresh {
-            self.connect(id, now);
-        }
         again.into_iter().for_each(|id| self.keep_up(id, now));
         test.into_iter().for_each(|conn| self.test(conn, Test::There, now));
         close.into_iter().for_each(|conn| self.close_line(conn, now));
--- a/crates/node/src/core/servers.rs
+++ b/crates/node/src/core/servers.rs
@@ -67,7 +67,7 @@
 impl Node {
     // ---- opening and closing ----
 
-    pub(super) fn connect(&mut self, server: ServerId, now: Ms) -> Option<ConnId> {
+    fn connect(&mut self, server: ServerId, now: Ms) -> Option<ConnId> {
         if self.lines.len() >= self.most_lines && !self.make_room(now) {
             return None;
         }
@@ -137,17 +137,9 @@
         // It was to tell whether a silent machine is there, and has told: a process that stands still for long
         // would else gather one more with each test.
         if s.lines.len() > limits::LINES && waiting.is_empty() && probes == 0 {
-            // Not as one that broke: no other one is opened for it. The oldest that has nothing out, else this one.
-            let idle = |c: &&ConnId| {
-                self.lines.get(c).is_some_and(|l| l.up && l.out.is_empty() && l.tests.is_empty())
-            };
-            let oldest = s.lines.iter().filter(idle).min().copied().unwrap_or(conn);
-            self.let_go(oldest, server, now);
-            if oldest == conn {
-                return;
-            }
+            // Not as one that broke: nothing was sent on it, and no other one is opened for it.
+            return self.let_go(conn, server, now);
         }
-        let Some(s) = self.servers.get_mut(&server) else { return };
         for bytes in std::mem::take(&mut s.unsent).into_values() {
             self.dos.push(Do::Write { conn, bytes });
         }
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -20,9 +20,6 @@
 /// Where there are more servers than room for connections, one where sessions stand is without for so long at most:
 /// releases are owed within 8 s of a session's end.
 pub const PARTED: Ms = 3_000.0;
-/// Where sessions stand, a further connection is opened after this time: a release that was lost on an open one comes
-/// again on the next one opened only, and is owed to its viewer within 8 s of the session's end.
-pub const FRESH: Ms = 3_500.0;
 /// Share of the platform's idle time after which a connection is closed from here, before its server does:
 /// a set-up would cross the server's close.
 pub const IDLE_SHARE: f64 = 0.8;
