Fronts tell each other only where there are more of them than servers

At fault is tell() in src/choice.rs: with one other front each request pays for a message, and since only own answers count each front asks every server anew each time its news is older than the delay.

A front that has more than one server's part knows enough by its own sessions and probes, so fronts tell only where they are more than the servers. The new test fails without the condition.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -153,13 +153,22 @@
         }
     }
 
+    /// Whether fronts tell each other: where there are more of them than servers, so that each has less than one
+    /// server's part to know of. A front with the part of several hears of them often enough by its own sessions
+    /// and probes; two fronts that tell each other all they hear fill and shed the same links by turns. Costs
+    /// probes where fronts are few.
+    fn tells(&self) -> bool {
+        let ready = self.fleet.servers.values().filter(|s| s.listed.listing == Listing::Ready);
+        self.terms.may_tell && self.terms.fronts as usize > ready.count().max(1)
+    }
+
     /// News for the other fronts. A probe's answer is worth as much to each of them as to this one, and their
     /// probes are priced like its own: each front earns with each request that it takes a part of one message to
     /// all, asks the servers that it has not heard from of late, and tells what they answer. So news is as old
     /// everywhere as the fleet's requests pay for, however thin the traffic of one front.
     fn tell(&mut self, due: &mut Due, now: Ms) {
         let others = self.terms.fronts.saturating_sub(1) as f64;
-        if !self.terms.may_tell || !self.terms.may_probe || others < 1.0 {
+        if !self.tells() || !self.terms.may_probe {
             return;
         }
         let servers = &self.fleet.servers;
@@ -686,6 +695,7 @@
 
     /// A server is judged by its failures in a row. `None` is a SETUP that led to play.
     fn judge(&mut self, server: ServerId, ending: Option<Ending>, now: Ms) {
+        let tells = self.tells();
         let Some(r) = self.fleet.servers.get_mut(&server) else { return };
         match ending {
             None => {
@@ -705,7 +715,7 @@
                     // Its process may be gone: it is cold when it answers again, whatever the list says.
                     (r.died, r.back) = (Some(now), None);
                 }
-                let first = if self.terms.may_tell { ASIDE_TOLD } else { ASIDE };
+                let first = if tells { ASIDE_TOLD } else { ASIDE };
                 r.aside_until = now + (first * 2f64.powi(r.fails.min(10) as i32 - 1)).min(ASIDE_MOST);
                 self.log.push(format!("server aside server={} fails={} last={how:?}", server.0, r.fails));
             }
@@ -775,6 +785,7 @@
         }
         let loads = hand.loads(&self.terms);
         let listed = |s: &&mut Server| s.listed.listing != Listing::Gone;
+        let tells = self.tells();
         for s in self.fleet.servers.values_mut().filter(listed).filter(|_| self.terms.may_probe) {
             // A probe, not a viewer's session, tries a server that was set aside.
             if s.fails > 0 {
@@ -787,7 +798,7 @@
             let Some(own) = loads.get(&s.listed.id).filter(|_| self.terms.probe_fed) else { continue };
             let next = now + PROBE_PACE / own.streams;
             let known = s.link.is_some_and(|seen| now - seen.at < PROBE_FIRST);
-            let from = if self.terms.may_tell { PROBE_FIRST } else { 0.0 };
+            let from = if tells { PROBE_FIRST } else { 0.0 };
             let first = if known { next } else { now + from + PROBE_FIRST * self.rng.f64() };
             // What another front told in the meantime is as good as an answer of its own.
             let told = s.link.map_or(now, |seen| seen.at + PROBE_PACE / own.streams);
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -205,6 +205,16 @@
     assert!(f.wait(&mut h, now + 400.0).tell.is_empty(), "once");
 }
 
+/// Guards against two fronts that ask each server anew with each request, and fill and shed its link by turns.
+#[test_case(5 => 4; "more fronts than servers")]
+#[test_case(4 => 0; "as many")]
+#[test_case(1 => 0; "alone")]
+fn fronts_tell_each_other_where_they_are_more_than_the_servers(fronts: u32) -> usize {
+    let mut f = telling(fronts);
+    f.untold = Some(1_000.0);
+    f.wait(&mut Hand::default(), NOW + 2_000.0).probes.len()
+}
+
 #[test_case(100.0 => 0.9; "newer than what was heard")]
 #[test_case(3_000.0 => 0.5; "older")]
 fn what_another_front_tells_counts_where_it_is_newer(age: Ms) -> f64 {
