When the list is asked for is the module's to say, in the simulator's adapter and the node alike

Cause: crates/wirehost sent neither track nor list_all and dropped a failed call (form 3) without a further try, so that with registry_mode=ask a front lived on the list of its start and sent to drained servers; crates/node asked its name service every 200 ms by a constant of its own (limits::POLL), all nodes from their start on.

Change: terms.list says how changes come (pushed, followed once asked, or by questions only); choice.rs ask_list, list_told, list_failed say when to ask: the first time by chance within a quarter of safety.ask_every, after a failure ever more seldom, by chance; by questions in 0.8 of safety.drain_grace, 500 ms at most. Due::ask_list carries it out.

The new tests fail without it.

--- a/crates/desk/src/desk.rs
+++ b/crates/desk/src/desk.rs
@@ -17,6 +17,8 @@
     Rung { id: SessId, rung: u8 },
     /// Ask a server for its load; the answer is owed through [`Desk::probed`].
     Probe { server: ServerId },
+    /// Ask for the list of servers, or for its changes from now on.
+    AskList,
     /// The final answer: busy reply, with the time to come back where one is told.
     BusyReply { id: SessId, come_back: Option<Ms> },
     /// The final answer: torn down.
@@ -118,6 +120,16 @@
         self.front.listed_all(lines);
     }
 
+    /// What [`Action::AskList`] asked for was told, so that changes come by themselves now.
+    pub fn list_told(&mut self) {
+        self.front.list_told();
+    }
+
+    /// A call for the list failed, or what was followed broke off.
+    pub fn list_failed(&mut self, now: Ms) {
+        self.front.list_failed(now);
+    }
+
     /// A time that was asked for has come.
     pub fn rang(&mut self, now: Ms) {
         self.again_at = self.again_at.filter(|t| *t > now);
@@ -129,6 +141,9 @@
         let due = self.front.wait(&mut self.hand, now);
         out.extend(due.rungs.into_iter().map(|(id, rung)| Action::Rung { id, rung }));
         out.extend(due.probes.into_iter().map(|server| Action::Probe { server }));
+        if due.ask_list {
+            out.push(Action::AskList);
+        }
         let placed = !due.place.is_empty();
         for id in due.place {
             let place = self.front.place(&mut self.hand, id, now);
--- a/crates/desk/src/live.rs
+++ b/crates/desk/src/live.rs
@@ -395,7 +395,8 @@
                 Action::BusyReply { id, come_back } => self.final_answer(id, Answer::Busy { come_back }),
                 Action::TornDown { id } => self.final_answer(id, Answer::TornDown),
                 // Fronts of this kind have no way to each other.
-                Action::Tell(_) => {}
+                // The list comes by a stream of its own.
+                Action::Tell(_) | Action::AskList => {}
                 Action::Log(line) => self.dos.push(Do::Log(line)),
                 Action::AgainAt(at) => self.again_at = at,
             }
--- a/crates/desk/tests/live.rs
+++ b/crates/desk/tests/live.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use walnutline::fleet::{Listed, Listing};
 use walnutline::ids::*;
-use walnutline::terms::{Budget, Column, Group, Repeat, Terms};
+use walnutline::terms::{Budget, Column, Group, ListWay, Repeat, Terms};
 use walnutline_desk::live::*;
 
 const BOXES: u32 = 4;
@@ -33,6 +33,8 @@
         link_kb_per_weight: 10_000.0,
         uplink_kb: 40_000.0,
         share_delay: 500.0,
+        list: ListWay::Pushed,
+        drain_grace: 250.0,
         columns: vec![Column::Streams, Column::Link],
         probe_fed: true,
         may_probe: true,
--- a/crates/node/src/core/care.rs
+++ b/crates/node/src/core/care.rs
@@ -49,7 +49,6 @@
                     self.keep_up(server, now);
                 }
             }
-            Due::Poll => self.poll(now),
             Due::Sweep => {
                 self.sweep_viewers(now);
                 self.sweep_servers(now);
--- a/crates/node/src/core/list.rs
+++ b/crates/node/src/core/list.rs
@@ -1,6 +1,6 @@
 //! The list of servers, followed by questions to the name service.
 use super::servers::Server;
-use super::{Due, Node};
+use super::Node;
 use crate::exchange::{ConnId, Do};
 use crate::limits;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -28,12 +28,7 @@
 
 impl Node {
     /// Asks for the list; a lost answer is made up for by the next question.
-    pub(super) fn poll(&mut self, now: Ms) {
-        self.ask_list();
-        self.timers.set(now + limits::POLL, Due::Poll);
-    }
-
-    fn ask_list(&mut self) {
+    pub(super) fn ask_list(&mut self) {
         let id = self.rng.u16(..);
         if self.names.asked.len() >= limits::ASKED {
             self.names.asked.pop_front();
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -22,7 +22,7 @@
 use viewers::Viewer;
 use walnutline::ids::{Ms, ServerId, SessId};
 use walnutline::interface::Ending;
-use walnutline::terms::Terms;
+use walnutline::terms::{ListWay, Terms};
 use walnutline_desk::desk::{Action, Desk};
 use walnutline_desk::stall::Stall;
 use walnutline_desk::timers::Timers;
@@ -67,7 +67,6 @@
     Test { conn: ConnId, id: u64 },
     Reconnect { server: ServerId },
     Sweep,
-    Poll,
 }
 
 pub struct Node {
@@ -104,6 +103,8 @@
     /// A node with the list that its configuration holds; connections to those servers are opened at once.
     pub fn new(told: Configuration, now: Ms) -> Result<Node, String> {
         let mut terms = Terms::parse(&told.terms).map_err(|e| format!("settings: {e}"))?;
+        // Changes come here with the answers to questions only, whatever the settings say of the simulator's list.
+        terms.list = ListWay::Asked { grace: terms.drain_grace };
         terms.may_tell &= told.peers_all.is_some() && told.peer_listen.is_some();
         let servers = told.servers.clone();
         let most_viewers = limits::viewers(told.sockets, servers.len());
@@ -133,7 +134,6 @@
             told,
         };
         node.listed(servers, now);
-        node.timers.set(now, Due::Poll);
         node.timers.set(now + limits::SWEEP, Due::Sweep);
         Ok(node)
     }
@@ -184,6 +184,7 @@
                 Action::Setup { id, server, timeout, .. } => self.setup(id, server, timeout, now),
                 Action::Rung { id, rung } => self.rung(id, rung),
                 Action::Probe { server } => self.probe(server, now),
+                Action::AskList => self.ask_list(),
                 Action::BusyReply { id, come_back } => self.answer(id, viewer::busy(id.0, come_back)),
                 Action::TornDown { id } => self.answer(id, viewer::torn_down(id.0)),
                 Action::Tell(news) => self.tell(&news, now),
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -37,8 +37,6 @@
 /// Releases that found no viewer's connection are kept for so long, and so many of them.
 pub const RELEASE_KEPT: Ms = 8_000.0;
 pub const RELEASES: usize = 4_096;
-/// Time between questions to the name service: a drain is heard well within its grace.
-pub const POLL: Ms = 200.0;
 /// Questions whose answers are still taken.
 pub const ASKED: usize = 8;
 /// How often connections are looked over.
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -472,6 +472,9 @@
     assert_eq!(zones.len(), 1_024, "a zone that the settings do not name is one of its own");
 }
 
+/// Within this time the name service is asked: a drain is heard within the grace that the settings of the tests state.
+const POLL: f64 = 200.0;
+
 fn list(w: &World, serial: u32, line: Option<(&'static str, [u8; 4], u16)>) -> Vec<u8> {
     list_of(w, serial, line, "started=0")
 }
@@ -508,13 +511,13 @@
     let (viewer, server) = w.standing(1);
     let here = w.servers[&server];
     let std::net::IpAddr::V4(ip) = here.ip() else { panic!("{here}") };
-    w.pass(limits::POLL);
+    w.pass(POLL);
     let names = w.queries.last().unwrap().0;
     let old = list(&w, 2, None);
     w.node.datagram(names, &old, w.now);
     w.run();
     assert_eq!(w.node.desk.front.fleet.servers.len(), 2, "an older list");
-    w.pass(limits::POLL);
+    w.pass(POLL);
     let new = list(&w, 9, Some(("s-0000000a.depot-a.hosts", ip.octets(), here.port())));
     w.node.datagram("127.0.0.9:53".parse().unwrap(), &new, w.now);
     assert_eq!(w.node.desk.front.fleet.servers.len(), 2, "from elsewhere");
@@ -545,7 +548,7 @@
     w.says(viewer, &wanted(2, "").replace("copies:2", "copies:1"));
     let (new, _) = w.setup_of(2);
     w.says(new, &reply(200, 2, ""));
-    w.pass(limits::POLL);
+    w.pass(POLL);
     let line = ("s-00000001.depot-a.hosts", [127, 0, 0, 1], 5061);
     let told = list_of(&w, 9, Some(line), "started=1700000000450");
     w.node.datagram(w.queries.last().unwrap().0, &told, w.now);
@@ -575,7 +578,7 @@
     let viewer = w.viewer();
     w.says(viewer, &wanted(1, "").replace("copies:2", "copies:1"));
     let waits = *w.connecting.last().expect("a connection is being opened");
-    w.pass(limits::POLL);
+    w.pass(POLL);
     let none = list(&w, 9, None);
     let names = w.queries.last().unwrap().0;
     w.node.datagram(names, &none, w.now);
@@ -586,6 +589,22 @@
     assert_eq!(w.find("SETUP"), None);
 }
 
+/// Guards against a whole fleet asking in step after a common start.
+#[test]
+fn nodes_that_start_together_do_not_ask_for_the_list_together() {
+    let first = |seed: u64| {
+        let mut w = World::with(&NODE.replace("8c1f30d27a5be964", &format!("{seed:016x}")));
+        let start = w.now;
+        while w.queries.is_empty() {
+            w.pass(1.0);
+        }
+        assert!(w.now - start <= POLL + 1.0, "late by {}", w.now - start - POLL);
+        (w.now - start) as u32 / 50
+    };
+    let quarters: std::collections::BTreeSet<u32> = (0..32).map(first).collect();
+    assert!(quarters.len() >= 4, "{quarters:?}");
+}
+
 #[test]
 fn a_new_configuration_names_another_name_service() {
     let mut w = World::new();
--- a/crates/platform/tests/codecs.rs
+++ b/crates/platform/tests/codecs.rs
@@ -199,7 +199,7 @@
         family_info.racks=2\nfamily_info.see=778.493\nfamily_info.uplink_kb=48379.0\nlimits.attempts_cap=3\n\
         limits.max_retry_after=1000.0\nlimits.probes=true\nlimits.retry_after=true\n\
         reporting.columns=inflight,x0\nreporting.via=pull\nsafety.cold=12000.0\nsafety.cold_from=0.4\n\
-        safety.tip_after=1000.0\nsafety.tip_multiple=2.0\n";
+        safety.drain_grace=250.0\nsafety.tip_after=1000.0\nsafety.tip_multiple=2.0\n";
     let terms = |text: &str| format!("{:?}", Terms::parse(text).unwrap());
     assert_eq!(terms(&told.terms), terms(lines));
     assert_eq!(
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use walnutline::ids::Ms;
-use walnutline::terms::{Budget, ColdTerms, Column, Group as TermsGroup, Repeat, Scope, Terms};
+use walnutline::terms::{Budget, ColdTerms, Column, Group as TermsGroup, ListWay, Repeat, Scope, Terms};
 use walnutline_catalogue::news::Price;
 use walnutline_dash::{from_base64, SigningKey, VerifyingKey};
 use walnutline_desk::live::Waits;
@@ -107,6 +107,9 @@
         kind_streams: d.kinds.iter().map(|k| f.whole(k.streams, "streams", 1.0, 1e7)).collect(),
         link_kb_per_weight: f.within(d.links.link_kb, "link-kb", 0.001, 1e12),
         uplink_kb: f.within(d.links.uplink_kb, "uplink-kb", 0.001, 1e12),
+        // The live list is a stream of events.
+        list: ListWay::Pushed,
+        drain_grace: 0.0,
         share_delay: f.within(d.reports.delay, "delay", 0.0, 60_000.0),
         columns,
         probe_fed: via == "probe",
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -78,13 +78,22 @@
                 if form > 3 {
                     return Err(format!("unknown form of list {form}"));
                 }
-                if form < 3 {
-                    let list = pages.get(&page).ok_or_else(|| format!("list {page} was never sent"))?;
-                    if let Some(i) = known {
+                let list = match form {
+                    3 => None,
+                    _ => Some(pages.get(&page).ok_or_else(|| format!("list {page} was never sent"))?),
+                };
+                match (known, list) {
+                    (None, _) => {}
+                    (Some(i), None) => i.list_failed(now),
+                    (Some(i), Some(list)) => {
                         match form {
                             0 => list.iter().for_each(|l| i.listed(l.clone())),
                             _ => i.listed_all(list.clone()),
                         }
+                        // The list as it was last held answers nothing.
+                        if form != 2 {
+                            i.list_told();
+                        }
                     }
                 }
             }
@@ -216,6 +225,9 @@
                 reply.record(8, who).put(&id.0.to_le_bytes());
             }
             Action::Tell(_) => {}
+            Action::AskList => {
+                reply.record(10, who).put(&[1]);
+            }
             Action::Log(line) => {
                 reply.record(11, who).put(&(line.len() as u16).to_le_bytes()).put(line.as_bytes());
             }
@@ -278,4 +290,37 @@
         let bytes = [&[0; HEADER], record].concat();
         Host::default().batch(&Frame { index: 5, clock: 0.0, records: 1, bytes }).unwrap_err()
     }
+
+    const SETTINGS: &str = "classes.count=1\nclasses.0.aim=800\nclasses.0.worth=1\nclasses.0.repeat=repeatable\n\
+        family_info.level_kb=100,200\nfamily_info.level_worth=0.5,1\nfamily_info.places=6\nfamily_info.racks=2\n\
+        family_info.kind_streams=20\nfamily_info.link_unit_kb=1000\nfamily_info.uplink_kb=4000\n\
+        limits.attempts_cap=3\nregistry_mode=ask\nsafety.ask_every=10000\n";
+
+    /// The answer to one batch of these records: whether it asks to follow the list (`track`).
+    fn tracks(host: &mut Host, clock: Ms, records: &[&[u8]]) -> bool {
+        let bytes = [&[0; HEADER], records.concat().as_slice()].concat();
+        let frame = Frame { index: 1, clock, records: records.len() as u32, bytes };
+        host.batch(&frame).unwrap().windows(6).any(|w| w == [10, 1, 0, 0, 0, 1])
+    }
+
+    /// Guards against a front that lives on the list of its start: what drains is never told to it.
+    #[test]
+    fn a_list_that_must_be_asked_for_is_followed_and_asked_for_again_after_a_failure() {
+        let mut host = Host::default();
+        let start =
+            [&[1, 1, 0, 0, 0][..], &7u64.to_le_bytes(), &(SETTINGS.len() as u32).to_le_bytes()].concat();
+        let start = [&start, SETTINGS.as_bytes()].concat();
+        let page = [13, 0, 0, 0, 0, 0, 0];
+        let told = |form: u8| [&[2, 1, 0, 0, 0][..], &[0; 10], &[form]].concat();
+        let bell = [&[7, 1, 0, 0, 0][..], &[0; 8]].concat();
+        let (cached, whole, failed) = (told(2), told(1), told(3));
+        assert!(!tracks(&mut host, 0.0, &[&start, &page, &cached]), "not at the very start");
+        assert!(tracks(&mut host, 2_500.0, &[&bell]));
+        assert!(!tracks(&mut host, 2_600.0, &[&failed]), "not at once");
+        assert!(tracks(&mut host, 3_400.0, &[&bell]));
+        assert!(!tracks(&mut host, 3_500.0, &[&page, &whole]));
+        assert!(!tracks(&mut host, 60_000.0, &[&bell]), "it is followed");
+        assert!(!tracks(&mut host, 60_100.0, &[&failed]), "not at once");
+        assert!(tracks(&mut host, 61_000.0, &[&bell]), "it broke off");
+    }
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,7 +9,7 @@
 use crate::hand::{Hand, Load, Sess};
 use crate::ids::{Ms, RackNo, ServerId, SessId};
 use crate::interface::{Due, Ending, News, Place, NEWS_A_MESSAGE};
-use crate::terms::{Column, Repeat, Scope};
+use crate::terms::{Column, ListWay, Repeat, Scope};
 use std::collections::BTreeMap;
 
 /// Weights of streams and of link plus uplink in a holder's cost.
@@ -69,6 +69,14 @@
 const BUSY: Ms = 1_000.0;
 /// An answer is given this long before the viewer gives up.
 const ANSWER_MARGIN: Ms = 30.0;
+/// Where the list is asked for, the time between questions by the grace that a draining server has, and at most:
+/// a question whose answer is lost is followed by others in time.
+const LIST_PACE: f64 = 0.8;
+const LIST_MOST: Ms = 500.0;
+/// Where it is followed, by the time after which a front counts as told: the first call comes within this share
+/// of it, and after one that failed the next in about this share, doubled for each further one.
+const LIST_FIRST: f64 = 0.25;
+const LIST_RETRY: f64 = 0.05;
 /// How often the rungs are looked over.
 const LOOK: Ms = 250.0;
 /// How often a session that waits for a cold server is looked at again.
@@ -214,6 +222,43 @@
         self.telling = Some((asked, now));
     }
 
+    // ---- the list ----
+
+    /// When to ask for the list. Fronts that start together do not ask together: the list is one service for all.
+    fn ask_list(&mut self, due: &mut Due, now: Ms) {
+        let (first, pace) = match self.terms.list {
+            ListWay::Pushed => return,
+            ListWay::Followed { told_after } => (told_after * LIST_FIRST, told_after),
+            ListWay::Asked { grace } => {
+                let pace = (grace * LIST_PACE).clamp(1.0, LIST_MOST);
+                (pace, pace)
+            }
+        };
+        let at = self.list_at.unwrap_or_else(|| now + first * self.rng.f64());
+        due.ask_list = at <= now;
+        // A call that nothing answers is followed by another; questions that were missed are not made up for.
+        let next = if due.ask_list { at.max(now - pace) + pace } else { at };
+        self.list_at = Some(next);
+        due.again_at = due.again_at.min(next);
+    }
+
+    /// What was asked for is told: changes come by themselves now.
+    pub fn list_told(&mut self) {
+        if let ListWay::Followed { .. } = self.terms.list {
+            (self.list_at, self.list_fails) = (Some(Ms::INFINITY), 0);
+        }
+    }
+
+    /// A call for the list failed, or what was followed broke off: for all fronts at once where the service of the
+    /// list is what fails, so they come again by chance, and later the oftener they fail.
+    pub fn list_failed(&mut self, now: Ms) {
+        let ListWay::Followed { told_after } = self.terms.list else { return };
+        self.list_fails += 1;
+        let wait = LIST_RETRY * 2f64.powi(self.list_fails.min(10) - 1) * (0.5 + self.rng.f64());
+        self.list_at = Some(now + told_after * wait.min(1.0));
+        self.log.push(format!("list not told fails={}", self.list_fails));
+    }
+
     /// A report is about as late as a delivered share: what this front has added since is not yet in it.
     fn told(&mut self, hand: &mut Hand, line: Line, use_: f64, now: Ms) {
         let there = |s: &Sess| self.on_line(s, line);
@@ -810,6 +855,7 @@
             }
         }
         self.tell(&mut due, now);
+        self.ask_list(&mut due, now);
         due.rungs = std::mem::take(&mut self.rungs);
         due.log = std::mem::take(&mut self.log);
         due
--- a/src/front.rs
+++ b/src/front.rs
@@ -37,6 +37,9 @@
     /// Requests taken since this front last told its news, and the servers asked for the next time, since when.
     pub untold: Option<f64>,
     pub telling: Option<(Vec<ServerId>, Ms)>,
+    /// When the list is asked for next, once that is settled, and calls for it that failed in a row.
+    pub list_at: Option<Ms>,
+    pub list_fails: i32,
     pub log: Vec<String>,
 }
 
@@ -56,6 +59,8 @@
             asking: None,
             untold: None,
             telling: None,
+            list_at: None,
+            list_fails: 0,
             log: Vec::new(),
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -61,6 +61,8 @@
 pub struct Due {
     pub rungs: Vec<(SessId, u8)>,
     pub probes: Vec<ServerId>,
+    /// The list of servers, or its changes from now on, is to be asked for.
+    pub ask_list: bool,
     pub place: Vec<SessId>,
     /// To be told to all other fronts, in one message.
     pub tell: Vec<News>,
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -59,6 +59,18 @@
     Other,
 }
 
+/// How changes of the list of servers come to a front.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum ListWay {
+    /// By themselves.
+    Pushed,
+    /// By themselves once a call for them was answered; calls fail and what was asked for may break off. A front
+    /// that has not asked for so long counts as told of what was listed that long before.
+    Followed { told_after: Ms },
+    /// Only with the answer to each question. What leaves takes nothing new for so long after it was told.
+    Asked { grace: Ms },
+}
+
 #[derive(Debug, Clone)]
 pub struct Terms {
     pub fronts: u32,
@@ -73,6 +85,9 @@
     pub uplink_kb: f64,
     /// How late a delivered share is heard.
     pub share_delay: Ms,
+    pub list: ListWay,
+    /// How long after a server's drain was told something new may still go there.
+    pub drain_grace: Ms,
     pub columns: Vec<Column>,
     pub probe_fed: bool,
     pub may_probe: bool,
@@ -169,6 +184,11 @@
             }),
             None => None,
         };
+        let list = match told.text("registry_mode") {
+            None | Some("push") => ListWay::Pushed,
+            Some("ask") => ListWay::Followed { told_after: told.above_zero("safety.ask_every")? },
+            Some(other) => return Err(format!("registry_mode: unreadable value {other:?}")),
+        };
         Ok(Terms {
             fronts: told.opt("balancers")?.unwrap_or(1),
             groups,
@@ -180,6 +200,8 @@
             link_kb_per_weight: told.need("family_info.link_unit_kb")?,
             uplink_kb: told.need("family_info.uplink_kb")?,
             share_delay: told.opt("family_info.see")?.unwrap_or(0.0),
+            list,
+            drain_grace: told.opt("safety.drain_grace")?.unwrap_or(0.0),
             columns: columns.split(',').filter(|c| !c.is_empty()).map(column).collect(),
             probe_fed: told.text("reporting.via") == Some("pull"),
             may_probe: told.text("limits.probes") == Some("true"),
@@ -215,6 +237,13 @@
         }
     }
 
+    fn above_zero(&self, path: &str) -> Result<f64, String> {
+        match self.need(path)? {
+            n if n > 0.0 && f64::is_finite(n) => Ok(n),
+            n => Err(format!("{path}: {n} is not above 0")),
+        }
+    }
+
     fn list<T: std::str::FromStr>(&self, path: &str) -> Result<Vec<T>, String> {
         let text: String = self.need(path)?;
         text.split(',').map(|v| read(path, v)).collect()
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -7,7 +7,7 @@
 use walnutline::hand::{Hand, Sess};
 use walnutline::ids::*;
 use walnutline::interface::{Ending, Place};
-use walnutline::terms::{Repeat, Scope};
+use walnutline::terms::{ListWay, Repeat, Scope};
 
 const ONE: SessId = SessId(1);
 
@@ -570,3 +570,58 @@
     assert_eq!(asked, h.sess[&ONE].rate(&f.terms, rung));
     rung
 }
+
+fn following(way: ListWay) -> walnutline::front::Front {
+    front(walnutline::terms::Terms { list: way, ..terms() })
+}
+
+/// When a front asks for the list, in milliseconds from now, until the given time.
+fn calls(f: &mut walnutline::front::Front, from: Ms, until: Ms) -> Vec<Ms> {
+    let mut h = hand([]);
+    let times = (from as u64..until as u64).step_by(10).map(|t| t as Ms);
+    times.filter(|t| f.wait(&mut h, NOW + t).ask_list).collect()
+}
+
+const FOLLOWED: ListWay = ListWay::Followed { told_after: 10_000.0 };
+
+#[test_case(ListWay::Pushed, 200.0 => (0, 0); "it comes by itself")]
+#[test_case(FOLLOWED, 2_500.0 => (1, 0); "once, within a quarter of the time")]
+#[test_case(ListWay::Asked { grace: 250.0 }, 200.0 => (1, 5); "every 200 ms, within the grace")]
+#[test_case(ListWay::Asked { grace: 1_000.0 }, 500.0 => (1, 2); "no more seldom than every 500 ms")]
+fn the_list_is_asked_for_where_it_does_not_come(way: ListWay, first: Ms) -> (usize, usize) {
+    let mut f = following(way);
+    (calls(&mut f, 0.0, first + 10.0).len(), calls(&mut f, first + 10.0, first + 1_010.0).len())
+}
+
+/// Guards against drains that are never heard: nothing answered, or what was followed broke off.
+#[test]
+fn a_list_that_is_not_told_is_asked_for_again_ever_more_seldom() {
+    let mut f = following(FOLLOWED);
+    let first = calls(&mut f, 0.0, 2_510.0)[0];
+    assert_eq!(calls(&mut f, first + 10.0, first + 10_020.0).len(), 1, "nothing was answered");
+    f.list_told();
+    assert_eq!(calls(&mut f, 20_000.0, 60_000.0), Vec::<Ms>::new(), "told: changes come by themselves");
+    let mut waits = Vec::new();
+    let mut now = 60_000.0;
+    for _ in 0..6 {
+        f.list_failed(NOW + now);
+        let next = calls(&mut f, now, now + 10_020.0)[0];
+        waits.push(next - now);
+        now = next;
+    }
+    assert!(waits[0] <= 760.0 && waits[5] > 5_000.0, "{waits:?}");
+    f.list_told();
+    f.list_failed(NOW + now);
+    assert!(calls(&mut f, now, now + 760.0).len() == 1, "an answer in between begins anew");
+}
+
+#[test]
+fn fronts_that_start_together_do_not_ask_for_the_list_together() {
+    let first = |seed| {
+        let mut f = following(FOLLOWED);
+        f.rng = fastrand::Rng::with_seed(seed);
+        calls(&mut f, 0.0, 2_510.0)[0] as u64 / 500
+    };
+    let when: std::collections::BTreeSet<u64> = (0..40).map(first).collect();
+    assert!(when.len() >= 5, "{when:?}");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,7 +4,7 @@
 use walnutline::hand::{Hand, Sess};
 use walnutline::ids::*;
 use walnutline::interface::Holders;
-use walnutline::terms::{Budget, ColdTerms, Column, Group, Repeat, Terms};
+use walnutline::terms::{Budget, ColdTerms, Column, Group, ListWay, Repeat, Terms};
 
 pub const NOW: Ms = 100_000.0;
 
@@ -29,6 +29,8 @@
         link_kb_per_weight: 2_000.0,
         uplink_kb: 4_000.0,
         share_delay: 500.0,
+        list: ListWay::Pushed,
+        drain_grace: 250.0,
         columns: vec![Column::Streams, Column::Link],
         probe_fed: true,
         may_probe: true,
--- a/tests/terms.rs
+++ b/tests/terms.rs
@@ -9,6 +9,12 @@
 #[test_case("classes.0.aim=800\n", "" => "classes.0.aim: missing"; "missing")]
 #[test_case("classes.0.aim=800", "classes.0.aim=soon" => "classes.0.aim: unreadable value \"soon\""; "unreadable")]
 #[test_case("repeatable", "thrice" => "classes.0.repeat: unreadable value \"thrice\""; "unknown word")]
+#[test_case("limits.attempts_cap=3", "limits.attempts_cap=3\nregistry_mode=ask" => "safety.ask_every: missing";
+    "asked for, but how often is not stated")]
+#[test_case("limits.attempts_cap=3", "limits.attempts_cap=3\nregistry_mode=ask\nsafety.ask_every=0"
+    => "safety.ask_every: 0 is not above 0"; "asked for all the time")]
+#[test_case("limits.attempts_cap=3", "limits.attempts_cap=3\nregistry_mode=gossip"
+    => "registry_mode: unreadable value \"gossip\""; "an unknown way")]
 #[test_case("racks=2", "racks=0" => "family_info.racks: must be above 0"; "zero")]
 fn what_is_wrong_is_reported_by_its_path(part: &str, instead: &str) -> String {
     Terms::parse(&LEAST.replace(part, instead)).unwrap_err()
