Settings out of range are named, what is zero is as absent, and no wait for servers that leave

Need: a layout that is not known yet must be read whole or refused by path, and a request is held only as long as its purpose.

A session held for a server's answer was held its 200 ms out though the list told that server gone.

Change: Terms::parse names the path of each; zero is absence where it says the same; unknown kinds run as few streams as any (Terms::most_streams); Sess::asking, and wait() places such a session at once. Tests for each, and one for each way to give up: the answer comes at once with the time to come back (this held before).

--- a/crates/node/src/core/list.rs
+++ b/crates/node/src/core/list.rs
@@ -81,11 +81,11 @@
                 zones.push(line.zone.clone());
                 zones.len() - 1
             });
-            let kind = self.told.kinds.iter().position(|k| *k == line.kind).unwrap_or(0);
+            let kind = self.told.kinds.iter().position(|k| *k == line.kind).unwrap_or(usize::MAX);
             listed.push(Listed {
                 id,
                 zone: ZoneNo(u16::try_from(zone).unwrap_or(u16::MAX)),
-                kind: KindNo(u8::try_from(kind).unwrap_or(0)),
+                kind: KindNo(u8::try_from(kind).unwrap_or(u8::MAX)),
                 cell: CellNo(line.cell),
                 listing: if line.draining { Listing::Draining } else { Listing::Ready },
                 weight: line.weight,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -151,7 +151,7 @@
             if s.link.is_some_and(|seen| seen.at >= at) {
                 continue;
             }
-            let most = self.terms.kind_streams.get(s.listed.kind.0 as usize).copied().unwrap_or(1.0);
+            let most = self.terms.most_streams(&s.listed);
             s.streams = Some(Seen { value: n.streams * most, at, own: own.streams });
             let line = Line::Link(n.server);
             let there = |s: &Sess| self.on_line(s, line);
@@ -190,7 +190,7 @@
             }
             for id in asked.iter().filter(|id| answered(id) >= *since) {
                 let s = &servers[id];
-                let most = self.terms.kind_streams.get(s.listed.kind.0 as usize).copied().unwrap_or(1.0);
+                let most = self.terms.most_streams(&s.listed);
                 let streams = s.streams.map_or(0.0, |seen| seen.value) / most;
                 due.tell.push(News {
                     server: *id,
@@ -315,8 +315,7 @@
 
     /// The answer to a probe. Sessions that wait for it are placed next.
     pub fn probed(&mut self, hand: &mut Hand, server: ServerId, ending: Ending, now: Ms) {
-        for s in hand.sess.values_mut().filter(|s| s.held_until.is_some() && s.asked.last() == Some(&server))
-        {
+        for s in hand.sess.values_mut().filter(|s| s.asking == Some(server)) {
             s.held_until = Some(now);
         }
         self.judge(server, (ending != Ending::Done).then_some(ending), now);
@@ -350,6 +349,7 @@
             Place::NotYet => {
                 let asking = self.asking.take();
                 s.held_until = Some(now + if asking.is_some() { ASK_WAIT } else { COLD_LOOK });
+                s.asking = asking;
                 s.asked.extend(asking);
                 self.probes.extend(asking);
             }
@@ -414,7 +414,7 @@
         if s.may_have_run.is_some() && !matches!(repeat, Repeat::Safe | Repeat::Keyed(Scope::All)) {
             return Place::TornDown;
         }
-        Place::BusyReply { come_back: self.terms.tells_return.then_some(self.terms.max_return) }
+        Place::BusyReply { come_back: self.terms.come_back }
     }
 
     /// Whether a further SETUP at this server cannot set the session up twice.
@@ -459,7 +459,7 @@
 
     fn cost(&self, loads: &Loads, server: ServerId) -> f64 {
         let r = &self.fleet.servers[&server];
-        let most = self.terms.kind_streams.get(r.listed.kind.0 as usize).copied().unwrap_or(1.0);
+        let most = self.terms.most_streams(&r.listed);
         let uplink = self.uplink_use(loads, self.terms.rack(r.listed.cell));
         ALPHA * self.streams(loads, server, most) / most + BETA * (self.link_use(loads, server) + uplink)
     }
@@ -471,7 +471,7 @@
         let weight = |id| self.fleet.servers.get(&id).map_or(1.0, |s| s.listed.weight.max(0.01));
         match line {
             Line::Link(id) => self.terms.link_kb_per_weight * weight(id),
-            Line::Uplink(_) => self.terms.uplink_kb.max(1.0),
+            Line::Uplink(_) => self.terms.uplink_kb,
         }
     }
 
@@ -794,7 +794,7 @@
         if warm_at <= now {
             return None;
         }
-        let most = self.terms.kind_streams.get(r.listed.kind.0 as usize).copied().unwrap_or(1.0);
+        let most = self.terms.most_streams(&r.listed);
         let all = cold.multiple * most / cold.lasts * cold.from * cold.span * COLD_CERTAIN;
         let share = (all / self.terms.fronts.max(1) as f64).floor();
         if share < 1.0 {
@@ -818,10 +818,13 @@
         }
         let mut due = Due { again_at: now + LOOK, ..Due::default() };
         due.probes = std::mem::take(&mut self.probes);
+        let servers = &self.fleet.servers;
+        let leaves = |id| servers.get(&id).is_none_or(|r| r.listed.listing != Listing::Ready);
         for (id, s) in &mut hand.sess {
             match s.held_until {
-                Some(t) if t <= now => {
-                    s.held_until = None;
+                // What a server answers that takes nothing new any more is not waited for.
+                Some(t) if t <= now || s.asking.is_some_and(leaves) => {
+                    (s.held_until, s.asking) = (None, None);
                     due.place.push(*id);
                 }
                 Some(t) => due.again_at = due.again_at.min(t),
--- a/src/front.rs
+++ b/src/front.rs
@@ -123,6 +123,7 @@
             tried: Vec::new(),
             erred: Vec::new(),
             asked: Vec::new(),
+            asking: None,
             sent: now,
             stepped: Ms::NEG_INFINITY,
             was_kb: 0.0,
--- a/src/hand.rs
+++ b/src/hand.rs
@@ -29,6 +29,8 @@
     pub erred: Vec<ServerId>,
     /// Servers that were probed for it.
     pub asked: Vec<ServerId>,
+    /// The one of them whose answer it is held for.
+    pub asking: Option<ServerId>,
     pub sent: Ms,
     /// Last change of rung while playing, or the start.
     pub stepped: Ms,
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -93,8 +93,8 @@
     pub may_probe: bool,
     /// Whether fronts may send each other messages, and the caller carries them.
     pub may_tell: bool,
-    pub tells_return: bool,
-    pub max_return: Ms,
+    /// The time to come back that a busy reply tells, where one may be told.
+    pub come_back: Option<Ms>,
     pub max_setups: u16,
     pub budget: Option<Budget>,
     pub cold: Option<ColdTerms>,
@@ -109,6 +109,12 @@
         RackNo(cell.0 % self.racks)
     }
 
+    /// Streams that a server runs at most; of a kind that the settings do not name, as few as any.
+    pub fn most_streams(&self, of: &Listed) -> f64 {
+        let least = || self.kind_streams.iter().copied().fold(f64::INFINITY, f64::min);
+        self.kind_streams.get(of.kind.0 as usize).copied().unwrap_or_else(least)
+    }
+
     /// Whether a server is among the holders.
     pub fn holds(&self, of: &Listed, holders: &Holders) -> bool {
         match holders {
@@ -132,7 +138,7 @@
             };
             let repeat_path = format!("classes.{i}.repeat");
             groups.push(Group {
-                start_target: told.need(&format!("classes.{i}.aim"))?,
+                start_target: told.above_zero(&format!("classes.{i}.aim"))?,
                 utility: told.need(&format!("classes.{i}.worth"))?,
                 repeat: match told.text(&repeat_path) {
                     Some("repeatable") => Repeat::Safe,
@@ -148,7 +154,7 @@
                 seats: told.row("family_info.licence_cap", i)?.unwrap_or(0),
             });
         }
-        let rung_kb: Vec<f64> = told.list("family_info.level_kb")?;
+        let rung_kb = told.list_above_zero("family_info.level_kb")?;
         let rung_utility: Vec<f64> = told.list("family_info.level_worth")?;
         if groups.is_empty() || rung_kb.is_empty() || rung_kb.len() != rung_utility.len() {
             return Err("family_info.level_kb: a ladder and a service group are needed".into());
@@ -167,7 +173,7 @@
             "x1" => Column::Uplink,
             _ => Column::Other,
         };
-        let budget = match told.opt("safety.look_back")? {
+        let budget = match told.some("safety.look_back")? {
             Some(span) => Some(Budget {
                 span,
                 free: told.opt("safety.min_extra")?.unwrap_or(0.0),
@@ -175,7 +181,7 @@
             }),
             None => None,
         };
-        let cold = match told.opt("safety.cold")? {
+        let cold = match told.some("safety.cold")? {
             Some(lasts) => Some(ColdTerms {
                 lasts,
                 from: told.need("safety.cold_from")?,
@@ -196,19 +202,21 @@
             rung_utility,
             cells: told.positive("family_info.places")?,
             racks: told.positive("family_info.racks")?,
-            kind_streams: told.list("family_info.kind_streams")?,
-            link_kb_per_weight: told.need("family_info.link_unit_kb")?,
-            uplink_kb: told.need("family_info.uplink_kb")?,
-            share_delay: told.opt("family_info.see")?.unwrap_or(0.0),
+            kind_streams: told.list_above_zero("family_info.kind_streams")?,
+            link_kb_per_weight: told.above_zero("family_info.link_unit_kb")?,
+            // Where no size is told, uplinks are no narrower than what hangs on them.
+            uplink_kb: told.some("family_info.uplink_kb")?.unwrap_or(f64::INFINITY),
+            share_delay: told.some("family_info.see")?.unwrap_or(0.0),
             list,
-            drain_grace: told.opt("safety.drain_grace")?.unwrap_or(0.0),
+            drain_grace: told.some("safety.drain_grace")?.unwrap_or(0.0),
             columns: columns.split(',').filter(|c| !c.is_empty()).map(column).collect(),
             probe_fed: told.text("reporting.via") == Some("pull"),
             may_probe: told.text("limits.probes") == Some("true"),
             may_tell: told.text("limits.peer_messages") == Some("true"),
-            tells_return: told.text("limits.retry_after") == Some("true"),
-            max_return: told.opt("limits.max_retry_after")?.unwrap_or(0.0),
-            max_setups: told.need("limits.attempts_cap")?,
+            come_back: told
+                .some("limits.max_retry_after")?
+                .filter(|_| told.text("limits.retry_after") == Some("true")),
+            max_setups: told.positive("limits.attempts_cap")?.min(u16::MAX.into()) as u16,
             budget,
             cold,
         })
@@ -238,9 +246,26 @@
     }
 
     fn above_zero(&self, path: &str) -> Result<f64, String> {
-        match self.need(path)? {
-            n if n > 0.0 && f64::is_finite(n) => Ok(n),
-            n => Err(format!("{path}: {n} is not above 0")),
+        let n = self.need(path)?;
+        if n > 0.0 && f64::is_finite(n) {
+            return Ok(n);
+        }
+        Err(format!("{path}: {n} is out of range"))
+    }
+
+    /// A figure for which zero says the same as its absence.
+    fn some(&self, path: &str) -> Result<Option<f64>, String> {
+        match self.opt(path)? {
+            Some(n) if !f64::is_finite(n) || n < 0.0 => Err(format!("{path}: {n} is out of range")),
+            told => Ok(told.filter(|n| *n > 0.0)),
+        }
+    }
+
+    fn list_above_zero(&self, path: &str) -> Result<Vec<f64>, String> {
+        let all: Vec<f64> = self.list(path)?;
+        match all.iter().find(|n| !n.is_finite() || **n <= 0.0) {
+            Some(n) => Err(format!("{path}: {n} is out of range")),
+            None => Ok(all),
         }
     }
 
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -571,6 +571,77 @@
     rung
 }
 
+/// A session that this front gives up on has its answer at once, however long its viewer would wait. Guards against
+/// viewers kept from looking elsewhere; they are told when to come back.
+#[test_case(|_, s| s.until = NOW + 20.0; "its time is up")]
+#[test_case(|_, s| s.setups = 4; "all SETUPs are used")]
+#[test_case(|f, s| { f.terms.budget = Some(budget()); f.further.extend([NOW, NOW]); s.setups = 1 }; "budget spent")]
+#[test_case(|f, s| { f.terms.groups[0].seats = 1; s.title = TitleId(1) }; "seats taken")]
+#[test_case(|_, s| s.holders = cells(0, 0); "held nowhere")]
+#[test_case(|f, _| f.fleet.servers.clear(); "an empty list")]
+#[test_case(|f, _| each(f, |s| s.listed.listing = Listing::Gone); "all gone")]
+#[test_case(|f, _| each(f, |s| s.listed.listing = Listing::Draining); "all draining")]
+#[test_case(|f, _| each(f, |s| s.link.as_mut().unwrap().value = 2.0); "all full")]
+#[test_case(|f, _| each(f, |s| s.busy_until = NOW + 1_000.0); "all busy")]
+#[test_case(|f, _| { (f.terms.fronts, f.terms.cold) = (200, Some(cold())); each(f, |s| s.listed.started = Some(NOW)) }; "all cold for long")]
+fn what_is_given_up_is_answered_at_once(why: fn(&mut walnutline::front::Front, &mut Sess)) {
+    let (mut f, mut s) = (front(terms()), sess());
+    // One session plays, and stands at its lowest rung.
+    let one = Sess { title: TitleId(1), ..playing(0, 0, 0.0) };
+    why(&mut f, &mut s);
+    let mut h = hand([s, one]);
+    assert_eq!(f.place(&mut h, ONE, NOW), Place::BusyReply { come_back: Some(500.0) });
+    assert!(!h.sess.contains_key(&ONE));
+}
+
+fn each(f: &mut walnutline::front::Front, with: fn(&mut walnutline::fleet::Server)) {
+    f.fleet.servers.values_mut().for_each(with);
+}
+
+/// A session is held for a server's answer no longer than that server takes anything.
+#[test_case(Listing::Ready => false; "it may still answer")]
+#[test_case(Listing::Draining => true; "it drains")]
+#[test_case(Listing::Gone => true; "it is gone")]
+fn no_session_waits_for_a_server_that_leaves(listing: Listing) -> bool {
+    let mut f = front(terms());
+    f.fleet.servers.values_mut().for_each(|s| s.link = None);
+    let mut h = hand([sess()]);
+    assert_eq!(f.place(&mut h, ONE, NOW), Place::NotYet);
+    let asked = f.wait(&mut h, NOW).probes[0];
+    f.fleet.servers.get_mut(&asked).unwrap().listed.listing = listing;
+    f.wait(&mut h, NOW + 10.0).place == [ONE]
+}
+
+/// A list as no settings foretell it: a new zone, kind or cell, a server named twice.
+#[test]
+fn servers_of_an_unknown_place_and_kind_are_used_all_the_same() {
+    let mut f = front(walnutline::terms::Terms { may_probe: false, cold: Some(cold()), ..terms() });
+    let strange = walnutline::fleet::Listed {
+        zone: ZoneNo(9),
+        kind: KindNo(255),
+        cell: CellNo(4_001),
+        ..server(7).listed
+    };
+    f.listed_all(vec![strange.clone(), strange, server(1).listed]);
+    for (id, used) in [(7, 0.4), (1, 0.5)] {
+        let s = f.fleet.servers.get_mut(&ServerId(id)).unwrap();
+        s.link = Some(Seen { value: used, at: NOW, own: 0.0 });
+        s.streams = Some(Seen { value: 5.0, at: NOW, own: 0.0 });
+    }
+    assert_eq!(went_to(&f.place(&mut hand([sess()]), ONE, NOW)), Some(7), "it has more room");
+}
+
+/// Where no size of uplinks is told, they hold nothing up.
+#[test]
+fn an_uplink_without_a_size_is_not_taken_for_a_full_one() {
+    let mut f = front(walnutline::terms::Terms { uplink_kb: f64::INFINITY, ..terms() });
+    f.fleet.servers.values_mut().for_each(|s| s.link.as_mut().unwrap().value = 0.1);
+    let mut h = hand([sess(), playing(0, 0, 0.0)]);
+    assert!(matches!(f.place(&mut h, ONE, NOW), Place::Setup { rung: 2, .. }));
+    f.link_heard(&mut h, ServerId(0), 0.1, NOW + 5_000.0);
+    assert_eq!(f.wait(&mut h, NOW + 5_000.0).rungs, [(SessId(2), 1)]);
+}
+
 fn following(way: ListWay) -> walnutline::front::Front {
     front(walnutline::terms::Terms { list: way, ..terms() })
 }
--- a/tests/terms.rs
+++ b/tests/terms.rs
@@ -12,9 +12,15 @@
 #[test_case("limits.attempts_cap=3", "limits.attempts_cap=3\nregistry_mode=ask" => "safety.ask_every: missing";
     "asked for, but how often is not stated")]
 #[test_case("limits.attempts_cap=3", "limits.attempts_cap=3\nregistry_mode=ask\nsafety.ask_every=0"
-    => "safety.ask_every: 0 is not above 0"; "asked for all the time")]
+    => "safety.ask_every: 0 is out of range"; "asked for all the time")]
 #[test_case("limits.attempts_cap=3", "limits.attempts_cap=3\nregistry_mode=gossip"
     => "registry_mode: unreadable value \"gossip\""; "an unknown way")]
+#[test_case("kind_streams=20", "kind_streams=20,0" => "family_info.kind_streams: 0 is out of range"; "no streams")]
+#[test_case("level_kb=100,200", "level_kb=100,NaN" => "family_info.level_kb: NaN is out of range"; "no rate")]
+#[test_case("link_unit_kb=1000", "link_unit_kb=0" => "family_info.link_unit_kb: 0 is out of range"; "no link")]
+#[test_case("aim=800", "aim=-1" => "classes.0.aim: -1 is out of range"; "below zero")]
+#[test_case("uplink_kb=4000", "uplink_kb=-4" => "family_info.uplink_kb: -4 is out of range"; "uplink below zero")]
+#[test_case("attempts_cap=3", "attempts_cap=0" => "limits.attempts_cap: must be above 0"; "no SETUP at all")]
 #[test_case("racks=2", "racks=0" => "family_info.racks: must be above 0"; "zero")]
 fn what_is_wrong_is_reported_by_its_path(part: &str, instead: &str) -> String {
     Terms::parse(&LEAST.replace(part, instead)).unwrap_err()
@@ -24,7 +30,7 @@
 fn absent_options_are_off_and_unknown_keys_are_skipped() {
     let t = Terms::parse(&format!("{LEAST}some.new.key=7\n")).unwrap();
     assert!(t.budget.is_none() && t.cold.is_none());
-    assert!(!t.may_probe && !t.tells_return && t.columns.is_empty());
+    assert!(!t.may_probe && t.come_back.is_none() && t.columns.is_empty());
 }
 
 #[test_case("inflight,util" => vec![Column::Streams, Column::Link]; "util alone")]
@@ -32,3 +38,11 @@
 fn columns_are_told_apart(columns: &str) -> Vec<Column> {
     Terms::parse(&format!("{LEAST}reporting.columns={columns}\n")).unwrap().columns
 }
+
+/// Zero and absence say the same of these; neither is a time, a size or a warm-up of nothing.
+#[test_case("family_info.uplink_kb=0\nlimits.retry_after=true\nlimits.max_retry_after=0\nsafety.cold=0\nsafety.look_back=0"; "zero")]
+#[test_case("limits.retry_after=true"; "absent")]
+fn what_is_zero_is_as_absent(told: &str) {
+    let t = Terms::parse(&format!("{}{told}\n", LEAST.replace("family_info.uplink_kb=4000\n", ""))).unwrap();
+    assert!(t.uplink_kb.is_infinite() && t.come_back.is_none() && t.cold.is_none() && t.budget.is_none());
+}
