A change of rung that costs much is made less often and goes further down at once

Cause: family_info.switch_cost_s, stated by the settings, was read by nothing: sessions stepped down rung by rung and up again whatever a change costs.

Both tests fail without it.

--- a/crates/desk/tests/live.rs
+++ b/crates/desk/tests/live.rs
@@ -33,6 +33,7 @@
         link_kb_per_weight: 10_000.0,
         uplink_kb: 40_000.0,
         share_delay: 500.0,
+        change_cost: 0.0,
         list: ListWay::Pushed,
         drain_grace: 250.0,
         columns: vec![Column::Streams, Column::Link],
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -108,6 +108,7 @@
         link_kb_per_weight: f.within(d.links.link_kb, "link-kb", 0.001, 1e12),
         uplink_kb: f.within(d.links.uplink_kb, "uplink-kb", 0.001, 1e12),
         // The live list is a stream of events.
+        change_cost: 0.0,
         list: ListWay::Pushed,
         drain_grace: 0.0,
         share_delay: f.within(d.reports.delay, "delay", 0.0, 60_000.0),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -633,9 +633,17 @@
             if load <= fits {
                 break;
             }
-            if now - s.stepped >= HOLD * terms.share_delay && s.rung > terms.groups[s.group.0 as usize].floor
-            {
-                let less = s.rate(terms, s.rung) - s.rate(terms, s.rung - 1);
+            let floor = terms.groups[s.group.0 as usize].floor;
+            if now - s.stepped >= HOLD * terms.share_delay && s.rung > floor {
+                let less = |rung: u8| s.rate(terms, s.rung) - s.rate(terms, rung);
+                // One rung, but for changes that cost more than a rung does in the time that news counts.
+                let costs = |rung: u8| {
+                    let lost = terms.rung_utility[s.rung as usize] - terms.rung_utility[rung as usize];
+                    (terms.change_cost + STALE * lost) / less(rung)
+                };
+                let to = (floor..s.rung).rev().min_by(|a, b| costs(*a).total_cmp(&costs(*b)));
+                let to = to.expect("a rung over the floor");
+                let less = less(to);
                 // A rung may be far more than this front's part of the excess: the last one goes by chance,
                 // or all fronts together would shed several times what is too much.
                 if load - fits < less * self.rng.f64() {
@@ -643,7 +651,7 @@
                 }
                 load -= less;
                 (s.was_kb, s.changed) = (s.rate(terms, s.rung), now);
-                (s.rung, s.stepped) = (s.rung - 1, now);
+                (s.rung, s.stepped) = (to, now);
                 self.rungs.push((id, s.rung));
             }
         }
@@ -673,12 +681,14 @@
         let terms = &self.terms;
         let mut up: Vec<(f64, SessId)> = Vec::new();
         for (id, s) in &hand.sess {
-            if s.playing
-                && s.at == Some(server)
-                && s.rung < s.top
-                && now - s.stepped >= HOLD * terms.share_delay
-            {
+            if s.playing && s.at == Some(server) && s.rung < s.top {
                 let more = terms.rung_utility[s.rung as usize + 1] - terms.rung_utility[s.rung as usize];
+                // A change costs: one that has stood for as long as the higher rung takes to earn it back is
+                // likely to stand for as long again.
+                let earns_back = terms.change_cost / more.max(1e-3);
+                if now - s.stepped < (HOLD * terms.share_delay).max(earns_back) {
+                    continue;
+                }
                 let kb = s.rate(terms, s.rung + 1) - s.rate(terms, s.rung);
                 up.push((terms.groups[s.group.0 as usize].utility * more / kb, *id));
             }
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -78,6 +78,8 @@
     /// The ladder: rate of each rung in kB a second, and what it earns.
     pub rung_kb: Vec<f64>,
     pub rung_utility: Vec<f64>,
+    /// What a change of rung costs while a session plays: its utility at a rung of 1 for so long.
+    pub change_cost: Ms,
     pub cells: u32,
     pub racks: u32,
     pub kind_streams: Vec<f64>,
@@ -200,6 +202,7 @@
             groups,
             rung_kb,
             rung_utility,
+            change_cost: told.some("family_info.switch_cost_s")?.unwrap_or(0.0) * 1_000.0,
             cells: told.positive("family_info.places")?,
             racks: told.positive("family_info.racks")?,
             kind_streams: told.list_above_zero("family_info.kind_streams")?,
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -642,6 +642,28 @@
     assert_eq!(f.wait(&mut h, NOW + 5_000.0).rungs, [(SessId(2), 1)]);
 }
 
+/// A change that costs more than a rung does goes further down at once, and up again only by one that lasts.
+#[test_case(0.0, 2 => vec![(ONE, 1)]; "free: one rung")]
+#[test_case(1_000.0, 2 => vec![(ONE, 1)]; "cheap: one rung")]
+#[test_case(20_000.0, 2 => vec![(ONE, 0)]; "costly: as far as makes it worth it")]
+fn a_costly_step_down_goes_further(change_cost: Ms, rung: u8) -> Vec<(SessId, u8)> {
+    let mut f = front(walnutline::terms::Terms { change_cost, ..terms() });
+    f.link_heard(&mut hand([playing(0, rung, 0.0)]), ServerId(0), 20.0, NOW);
+    f.rungs
+}
+
+#[test_case(0.0 => 1; "free")]
+#[test_case(1_000.0 => 1; "earned back in two and a half seconds")]
+#[test_case(3_000.0 => 0; "earned back only later")]
+fn a_session_steps_up_once_it_is_likely_to_earn_the_change_back(change_cost: Ms) -> usize {
+    let mut f = front(walnutline::terms::Terms { change_cost, ..terms() });
+    let stands = Sess { stepped: NOW - 5_000.0, ..playing(0, 1, 0.0) };
+    let one = &mut f.fleet.servers.get_mut(&ServerId(0)).unwrap().link;
+    *one = Some(Seen { value: 0.4, at: NOW - 5_000.0, own: 200.0 });
+    f.link_heard(&mut hand([stands]), ServerId(0), 0.4, NOW);
+    f.rungs.len()
+}
+
 fn following(way: ListWay) -> walnutline::front::Front {
     front(walnutline::terms::Terms { list: way, ..terms() })
 }
