Probes go on as far as the sessions pay for them at the told price

Cause: tariffs.probe was read by nothing: a holder with old news was asked before each session, up to three, whatever that costs.

Probes of servers set aside go on and are counted.

--- a/crates/desk/tests/live.rs
+++ b/crates/desk/tests/live.rs
@@ -39,6 +39,7 @@
         columns: vec![Column::Streams, Column::Link],
         probe_fed: true,
         may_probe: true,
+        probe_cost: 0.0,
         may_tell: false,
         come_back: Some(500.0),
         max_setups: 3,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -33,6 +33,9 @@
 const HOLD: f64 = 3.0;
 /// Shares delivered under this tell of a link or uplink that is asked too much.
 const SHORT: f64 = 0.98;
+/// What probes may cost, as a share of what sessions earn: as many are paid for by each session. Where they are
+/// dear, most sessions go by the table as it is.
+const PROBE_SHARE: f64 = 0.04;
 /// Time between the probes of a server, for each session that this front has there: probes are priced by
 /// the session. The first one comes sooner.
 const PROBE_PACE: Ms = 25_000.0;
@@ -393,7 +396,8 @@
         // It can harm where probes are slow; a lost answer costs its wait, and none is asked late.
         let news = self.fleet.servers[&server].link.map_or(Ms::NEG_INFINITY, |seen| seen.at);
         let in_time = target_left > group.start_target * ASK_TARGET;
-        if self.terms.may_probe && now - news > ASK_AFTER && s.asked.len() < ASK_MOST && in_time {
+        let may_ask = self.terms.may_probe && self.probe_debt <= 0.0;
+        if may_ask && now - news > ASK_AFTER && s.asked.len() < ASK_MOST && in_time {
             self.asking = Some(server);
             return Place::NotYet;
         }
@@ -853,7 +857,8 @@
                 }
                 continue;
             }
-            let Some(own) = loads.get(&s.listed.id).filter(|_| self.terms.probe_fed) else { continue };
+            let asks = self.terms.probe_fed && self.probe_debt <= 0.0;
+            let Some(own) = loads.get(&s.listed.id).filter(|_| asks) else { continue };
             let next = now + PROBE_PACE / own.streams;
             let known = s.link.is_some_and(|seen| now - seen.at < PROBE_FIRST);
             let from = if tells { PROBE_FIRST } else { 0.0 };
@@ -868,6 +873,7 @@
             }
         }
         self.tell(&mut due, now);
+        self.probe_debt += due.probes.len() as f64 * self.terms.probe_cost / PROBE_SHARE;
         self.ask_list(&mut due, now);
         due.rungs = std::mem::take(&mut self.rungs);
         due.log = std::mem::take(&mut self.log);
--- a/src/front.rs
+++ b/src/front.rs
@@ -34,6 +34,8 @@
     /// Probes to send, and the one that the session in hand waits for.
     pub probes: Vec<ServerId>,
     pub asking: Option<ServerId>,
+    /// What probes have cost beyond what the sessions so far pay for them.
+    pub probe_debt: f64,
     /// Requests taken since this front last told its news, and the servers asked for the next time, since when.
     pub untold: Option<f64>,
     pub telling: Option<(Vec<ServerId>, Ms)>,
@@ -57,6 +59,7 @@
             rungs: Vec::new(),
             probes: Vec::new(),
             asking: None,
+            probe_debt: 0.0,
             untold: None,
             telling: None,
             list_at: None,
@@ -104,8 +107,9 @@
         hand.sess.insert(id, Sess { at: Some(server), playing: true, answered: true, setups: 1, ..s });
     }
 
-    fn session(&self, r: Request, now: Ms) -> Sess {
+    fn session(&mut self, r: Request, now: Ms) -> Sess {
         let g = &self.terms.groups[r.group.0 as usize];
+        self.probe_debt -= 1.0;
         Sess {
             group: r.group,
             title: r.title,
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -93,6 +93,8 @@
     pub columns: Vec<Column>,
     pub probe_fed: bool,
     pub may_probe: bool,
+    /// What a probe costs, as a share of what a session earns on average.
+    pub probe_cost: f64,
     /// Whether fronts may send each other messages, and the caller carries them.
     pub may_tell: bool,
     /// The time to come back that a busy reply tells, where one may be told.
@@ -215,6 +217,7 @@
             columns: columns.split(',').filter(|c| !c.is_empty()).map(column).collect(),
             probe_fed: told.text("reporting.via") == Some("pull"),
             may_probe: told.text("limits.probes") == Some("true"),
+            probe_cost: told.some("tariffs.probe")?.unwrap_or(0.0),
             may_tell: told.text("limits.peer_messages") == Some("true"),
             come_back: told
                 .some("limits.max_retry_after")?
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -664,6 +664,21 @@
     f.rungs.len()
 }
 
+/// Guards against more being paid for news than it can earn, where probes are dear.
+#[test_case(0.0, 0.0 => true; "free")]
+#[test_case(0.01, -1.0 => true; "paid for")]
+#[test_case(0.15, 2.0 => false; "the sessions so far have not paid for more")]
+fn a_holder_is_asked_as_far_as_sessions_pay_for_it(probe_cost: f64, probe_debt: f64) -> bool {
+    let mut f = front(walnutline::terms::Terms { probe_cost, ..terms() });
+    each(&mut f, |s| s.link = None);
+    f.probe_debt = probe_debt;
+    let mut h = hand([sess()]);
+    let place = f.place(&mut h, ONE, NOW);
+    f.wait(&mut h, NOW);
+    assert_eq!(f.probe_debt > probe_debt, place == Place::NotYet && probe_cost > 0.0);
+    place == Place::NotYet
+}
+
 fn following(way: ListWay) -> walnutline::front::Front {
     front(walnutline::terms::Terms { list: way, ..terms() })
 }
