Where listed weights move with load, a server is as large as the largest weight seen of it

Cause: Front::kb took the list's weight for the size of the link. Where the settings say weights=live it is the size over what the server carried a while ago, so a server looked the smaller the more it carried.

Change: terms.weights; Server::largest keeps the largest weight listed of a process, and kb reckons with it where weights move. A list that must be asked for needs no safety.ask_every any more: without it the time that news counts stands in its place.

Tried and taken out: where all weights are the same, sizes by the kinds' streams over the kinds' mean.

--- a/crates/desk/tests/live.rs
+++ b/crates/desk/tests/live.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use walnutline::fleet::{Listed, Listing};
 use walnutline::ids::*;
-use walnutline::terms::{Budget, Column, Group, ListWay, Repeat, Terms};
+use walnutline::terms::{Budget, Column, Group, ListWay, Repeat, Terms, Weights};
 use walnutline_desk::live::*;
 
 const BOXES: u32 = 4;
@@ -30,6 +30,7 @@
         cells: u32::MAX,
         racks: u32::MAX,
         kind_streams: vec![50.0],
+        weights: Weights::Size,
         link_kb_per_weight: 10_000.0,
         uplink_kb: 40_000.0,
         share_delay: 500.0,
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use walnutline::ids::Ms;
-use walnutline::terms::{Budget, ColdTerms, Column, Group as TermsGroup, ListWay, Repeat, Scope, Terms};
+use walnutline::terms::{
+    Budget, ColdTerms, Column, Group as TermsGroup, ListWay, Repeat, Scope, Terms, Weights,
+};
 use walnutline_catalogue::news::Price;
 use walnutline_dash::{from_base64, SigningKey, VerifyingKey};
 use walnutline_desk::live::Waits;
@@ -105,6 +107,7 @@
         cells: u32::MAX,
         racks: u32::MAX,
         kind_streams: d.kinds.iter().map(|k| f.whole(k.streams, "streams", 1.0, 1e7)).collect(),
+        weights: Weights::Size,
         link_kb_per_weight: f.within(d.links.link_kb, "link-kb", 0.001, 1e12),
         uplink_kb: f.within(d.links.uplink_kb, "uplink-kb", 0.001, 1e12),
         // The live list is a stream of events.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,7 +9,7 @@
 use crate::hand::{Hand, Load, Sess};
 use crate::ids::{Ms, RackNo, ServerId, SessId};
 use crate::interface::{Due, Ending, News, Place, NEWS_A_MESSAGE};
-use crate::terms::{Column, ListWay, Repeat, Scope};
+use crate::terms::{Column, ListWay, Repeat, Scope, Weights};
 use std::collections::BTreeMap;
 
 /// Weights of streams and of link plus uplink in a holder's cost.
@@ -76,7 +76,7 @@
 /// a question whose answer is lost is followed by others in time.
 const LIST_PACE: f64 = 0.8;
 const LIST_MOST: Ms = 500.0;
-/// Where it is followed, by the time after which a front counts as told: the first call comes within this share
+/// Where it is followed, by the time after which a front counts as told or other news is stale: the first call comes within this share
 /// of it, and after one that failed the next in about this share, doubled for each further one.
 const LIST_FIRST: f64 = 0.25;
 const LIST_RETRY: f64 = 0.05;
@@ -231,7 +231,7 @@
     fn ask_list(&mut self, due: &mut Due, now: Ms) {
         let (first, pace) = match self.terms.list {
             ListWay::Pushed => return,
-            ListWay::Followed { told_after } => (told_after * LIST_FIRST, told_after),
+            ListWay::Followed { told_after } => (told_after.min(STALE) * LIST_FIRST, told_after.min(STALE)),
             ListWay::Asked { grace } => {
                 let pace = (grace * LIST_PACE).clamp(1.0, LIST_MOST);
                 (pace, pace)
@@ -258,7 +258,7 @@
         let ListWay::Followed { told_after } = self.terms.list else { return };
         self.list_fails += 1;
         let wait = LIST_RETRY * 2f64.powi(self.list_fails.min(10) - 1) * (0.5 + self.rng.f64());
-        self.list_at = Some(now + told_after * wait.min(1.0));
+        self.list_at = Some(now + told_after.min(STALE) * wait.min(1.0));
         self.log.push(format!("list not told fails={}", self.list_fails));
     }
 
@@ -472,7 +472,14 @@
 
     /// The told size of a line.
     fn kb(&self, line: Line) -> f64 {
-        let weight = |id| self.fleet.servers.get(&id).map_or(1.0, |s| s.listed.weight.max(0.01));
+        let weight = |id| {
+            let weight = self.fleet.servers.get(&id).map(|s| match self.terms.weights {
+                Weights::Size => s.listed.weight,
+                // Else a server would look the smaller the more it carries.
+                Weights::Live => s.largest,
+            });
+            weight.map_or(1.0, |weight| weight.max(0.01))
+        };
         match line {
             Line::Link(id) => self.terms.link_kb_per_weight * weight(id),
             Line::Uplink(_) => self.terms.uplink_kb,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -40,6 +40,8 @@
 #[derive(Debug, Clone)]
 pub struct Server {
     pub listed: Listed,
+    /// The largest weight that was listed of it.
+    pub largest: f64,
     /// What is asked of the link over what it gives.
     pub link: Option<Seen>,
     /// Streams that it runs or sets up.
@@ -69,6 +71,7 @@
 impl Server {
     pub fn new(listed: Listed) -> Self {
         Server {
+            largest: listed.weight,
             listed,
             link: None,
             streams: None,
--- a/src/front.rs
+++ b/src/front.rs
@@ -71,7 +71,10 @@
     /// One line of the list. A new start makes it a new process: nothing known of the old one counts.
     pub fn listed(&mut self, line: Listed) {
         match self.fleet.servers.get_mut(&line.id) {
-            Some(s) if s.listed.started == line.started => s.listed = line,
+            Some(s) if s.listed.started == line.started => {
+                s.largest = s.largest.max(line.weight);
+                s.listed = line;
+            }
             Some(s) => {
                 let sent_cold = std::mem::take(&mut s.sent_cold);
                 *s = Server { sent_cold, ..Server::new(line) };
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -59,13 +59,22 @@
     Other,
 }
 
+/// What the list's weight of a server says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Weights {
+    /// The size of its link, more or less, or the same for all.
+    Size,
+    /// Its size over what it carried a while ago: the whole size only while it is idle.
+    Live,
+}
+
 /// How changes of the list of servers come to a front.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum ListWay {
     /// By themselves.
     Pushed,
     /// By themselves once a call for them was answered; calls fail and what was asked for may break off. A front
-    /// that has not asked for so long counts as told of what was listed that long before.
+    /// that has not asked for so long, where a time is stated, counts as told of what was listed that long before.
     Followed { told_after: Ms },
     /// Only with the answer to each question. What leaves takes nothing new for so long after it was told.
     Asked { grace: Ms },
@@ -83,6 +92,7 @@
     pub cells: u32,
     pub racks: u32,
     pub kind_streams: Vec<f64>,
+    pub weights: Weights,
     pub link_kb_per_weight: f64,
     pub uplink_kb: f64,
     /// How late a delivered share is heard.
@@ -196,7 +206,9 @@
         };
         let list = match told.text("registry_mode") {
             None | Some("push") => ListWay::Pushed,
-            Some("ask") => ListWay::Followed { told_after: told.above_zero("safety.ask_every")? },
+            Some("ask") => {
+                ListWay::Followed { told_after: told.some("safety.ask_every")?.unwrap_or(Ms::INFINITY) }
+            }
             Some(other) => return Err(format!("registry_mode: unreadable value {other:?}")),
         };
         Ok(Terms {
@@ -208,6 +220,11 @@
             cells: told.positive("family_info.places")?,
             racks: told.positive("family_info.racks")?,
             kind_streams: told.list_above_zero("family_info.kind_streams")?,
+            weights: match told.text("weights") {
+                None | Some("silent" | "nominal" | "rough") => Weights::Size,
+                Some("live") => Weights::Live,
+                Some(other) => return Err(format!("weights: unreadable value {other:?}")),
+            },
             link_kb_per_weight: told.above_zero("family_info.link_unit_kb")?,
             // Where no size is told, uplinks are no narrower than what hangs on them.
             uplink_kb: told.some("family_info.uplink_kb")?.unwrap_or(f64::INFINITY),
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -7,7 +7,7 @@
 use walnutline::hand::{Hand, Sess};
 use walnutline::ids::*;
 use walnutline::interface::{Ending, Place};
-use walnutline::terms::{ListWay, Repeat, Scope};
+use walnutline::terms::{ListWay, Repeat, Scope, Weights};
 
 const ONE: SessId = SessId(1);
 
@@ -679,6 +679,20 @@
     place == Place::NotYet
 }
 
+/// Guards against a server that looks the smaller the more it carries, where its listed weight moves with its load.
+#[test_case(Weights::Size => 0; "the weight as it is listed")]
+#[test_case(Weights::Live => 2; "the largest that was listed")]
+fn a_weight_that_moves_with_load_is_no_smaller_link(weights: Weights) -> u8 {
+    let mut f = front(walnutline::terms::Terms { weights, ..terms() });
+    for weight in [1.0, 0.2] {
+        f.listed(walnutline::fleet::Listed { weight, ..server(0).listed });
+    }
+    match f.place(&mut hand([Sess { holders: cells(0, 1), ..sess() }]), ONE, NOW) {
+        Place::Setup { rung, .. } => rung,
+        other => panic!("{other:?}"),
+    }
+}
+
 fn following(way: ListWay) -> walnutline::front::Front {
     front(walnutline::terms::Terms { list: way, ..terms() })
 }
@@ -694,6 +708,7 @@
 
 #[test_case(ListWay::Pushed, 200.0 => (0, 0); "it comes by itself")]
 #[test_case(FOLLOWED, 2_500.0 => (1, 0); "once, within a quarter of the time")]
+#[test_case(ListWay::Followed { told_after: Ms::INFINITY }, 3_750.0 => (1, 0); "once, though no time is stated")]
 #[test_case(ListWay::Asked { grace: 250.0 }, 200.0 => (1, 5); "every 200 ms, within the grace")]
 #[test_case(ListWay::Asked { grace: 1_000.0 }, 500.0 => (1, 2); "no more seldom than every 500 ms")]
 fn the_list_is_asked_for_where_it_does_not_come(way: ListWay, first: Ms) -> (usize, usize) {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,7 +4,7 @@
 use walnutline::hand::{Hand, Sess};
 use walnutline::ids::*;
 use walnutline::interface::Holders;
-use walnutline::terms::{Budget, ColdTerms, Column, Group, ListWay, Repeat, Terms};
+use walnutline::terms::{Budget, ColdTerms, Column, Group, ListWay, Repeat, Terms, Weights};
 
 pub const NOW: Ms = 100_000.0;
 
@@ -26,6 +26,7 @@
         cells: 4,
         racks: 2,
         kind_streams: vec![20.0],
+        weights: Weights::Size,
         link_kb_per_weight: 2_000.0,
         uplink_kb: 4_000.0,
         share_delay: 500.0,
