Holders are asked before a session goes there only where the answer tells of the link

Cause: choose() asked up to three holders, 200 ms each, wherever probes are allowed and news of the link is old; where the reports' columns hold nothing of the link, no answer ever makes it newer.

Change: Terms::probes_tell (probes allowed and a column of the link) is what choose, tell and the pace of probes ask. Servers set aside are tried by probes as before. The new test fails without it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -179,7 +179,7 @@
     /// everywhere as the fleet's requests pay for, however thin the traffic of one front.
     fn tell(&mut self, due: &mut Due, now: Ms) {
         let others = self.terms.fronts.saturating_sub(1) as f64;
-        if !self.tells() || !self.terms.may_probe {
+        if !self.tells() || !self.terms.probes_tell() {
             return;
         }
         let servers = &self.fleet.servers;
@@ -396,7 +396,7 @@
         // It can harm where probes are slow; a lost answer costs its wait, and none is asked late.
         let news = self.fleet.servers[&server].link.map_or(Ms::NEG_INFINITY, |seen| seen.at);
         let in_time = target_left > group.start_target * ASK_TARGET;
-        let may_ask = self.terms.may_probe && self.probe_debt <= 0.0;
+        let may_ask = self.terms.probes_tell() && self.probe_debt <= 0.0;
         if may_ask && now - news > ASK_AFTER && s.asked.len() < ASK_MOST && in_time {
             self.asking = Some(server);
             return Place::NotYet;
@@ -864,7 +864,7 @@
                 }
                 continue;
             }
-            let asks = self.terms.probe_fed && self.probe_debt <= 0.0;
+            let asks = self.terms.probe_fed && self.terms.probes_tell() && self.probe_debt <= 0.0;
             let Some(own) = loads.get(&s.listed.id).filter(|_| asks) else { continue };
             let next = now + PROBE_PACE / own.streams;
             let known = s.link.is_some_and(|seen| now - seen.at < PROBE_FIRST);
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -123,6 +123,11 @@
         RackNo(cell.0 % self.racks)
     }
 
+    /// Whether a probe's answer tells what is asked of a link.
+    pub fn probes_tell(&self) -> bool {
+        self.may_probe && self.columns.contains(&Column::Link)
+    }
+
     /// Streams that a server runs at most; of a kind that the settings do not name, as few as any.
     pub fn most_streams(&self, of: &Listed) -> f64 {
         let least = || self.kind_streams.iter().copied().fold(f64::INFINITY, f64::min);
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -7,7 +7,7 @@
 use walnutline::hand::{Hand, Sess};
 use walnutline::ids::*;
 use walnutline::interface::{Ending, Place};
-use walnutline::terms::{ListWay, Repeat, Scope, Weights};
+use walnutline::terms::{Column, ListWay, Repeat, Scope, Weights};
 
 const ONE: SessId = SessId(1);
 
@@ -693,6 +693,18 @@
     }
 }
 
+/// Guards against sessions held for answers that can tell nothing, and paid for.
+#[test_case(vec![Column::Streams, Column::Link] => (false, 1); "of the link")]
+#[test_case(vec![Column::Other] => (true, 0); "of nothing that counts")]
+#[test_case(vec![] => (true, 0); "of nothing at all")]
+fn a_holder_is_asked_only_for_what_its_answer_tells(columns: Vec<Column>) -> (bool, usize) {
+    let mut f = front(walnutline::terms::Terms { columns, ..terms() });
+    each(&mut f, |s| s.link = None);
+    let mut h = hand([sess()]);
+    let place = f.place(&mut h, ONE, NOW);
+    (went_to(&place).is_some(), f.wait(&mut h, NOW).probes.len())
+}
+
 fn following(way: ListWay) -> walnutline::front::Front {
     front(walnutline::terms::Terms { list: way, ..terms() })
 }
