Those turned away together are told different times to come back

Cause: give_up told the longest time that the settings allow to everybody, so a crowd turned away within a moment came back within one. By reading; the returns were not counted. Now a time by chance between half of it and all.

The draw also changes all later chance of a front.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -413,12 +413,14 @@
     }
 
     /// The answer to a session that this front cannot place; at once, so that its viewer may look elsewhere.
-    fn give_up(&self, s: &Sess) -> Place {
+    fn give_up(&mut self, s: &Sess) -> Place {
         let repeat = self.terms.groups[s.group.0 as usize].repeat;
         if s.may_have_run.is_some() && !matches!(repeat, Repeat::Safe | Repeat::Keyed(Scope::All)) {
             return Place::TornDown;
         }
-        Place::BusyReply { come_back: self.terms.come_back }
+        // Those who are turned away together do not come back together.
+        let spread = 0.5 + 0.5 * self.rng.f64();
+        Place::BusyReply { come_back: self.terms.come_back.map(|most| most * spread) }
     }
 
     /// Whether a further SETUP at this server cannot set the session up twice.
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -107,7 +107,7 @@
     pub probe_cost: f64,
     /// Whether fronts may send each other messages, and the caller carries them.
     pub may_tell: bool,
-    /// The time to come back that a busy reply tells, where one may be told.
+    /// The longest time to come back that a busy reply may tell, where one may be told.
     pub come_back: Option<Ms>,
     pub max_setups: u16,
     pub budget: Option<Budget>,
