A silent server is tested after 4 s instead of 2: six of seven probes were such tests

Ruled out: probes of servers set aside. At fault: limits::TEST_AFTER (care.rs, sweep_servers): each node tests each server where its sessions stand and that was quiet for 2 s.

--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -25,8 +25,10 @@
 pub const IDLE_SHARE: f64 = 0.8;
 /// Ids of given-up set-ups that are kept for a connection, in case a good answer is still under way.
 pub const GIVEN_UP: usize = 64;
-/// A server where sessions stand and that was not heard for so long is tested.
-pub const TEST_AFTER: Ms = 2_000.0;
+/// A server where sessions stand and that was not heard for so long is tested. What ends there has to be released within
+/// 8 s: with the wait for the answer, the connection that then does not open and two sweeps, 6 s pass. Tests are
+/// priced as probes are, and every node tests for itself: sooner, they were six of seven probes of the fleet.
+pub const TEST_AFTER: Ms = 4_000.0;
 /// A test that is not answered within this time is followed by a new connection: if that does not open either,
 /// the machine is gone.
 pub const TEST_WAIT: Ms = 1_200.0;
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -198,6 +198,17 @@
     assert!(w.find("cause=16").is_some());
 }
 
+/// Guards against every node of a fleet testing each server every two seconds: tests are priced.
+#[test]
+fn a_quiet_server_is_not_tested_sooner_than_its_releases_need() {
+    let mut w = World::new();
+    let (_, server) = w.standing(1);
+    w.pass(3_700.0);
+    assert_eq!(w.find("rtsp://media/ping"), None);
+    w.pass(800.0);
+    assert_eq!(w.find("rtsp://media/ping").unwrap().0, server);
+}
+
 #[test]
 fn sessions_of_a_silent_machine_are_released_within_8_s() {
     let mut w = World::new();
@@ -243,7 +254,7 @@
                 Figure: 1\r\nContent-Length: 0\r\n\r\n";
     let died = |w: &mut World| w.node.desk.front.fleet.servers.get_mut(&id).unwrap().died.is_some();
     // Silent for so long that new connections are tried, which do not open.
-    w.pass(3_600.0);
+    w.pass(limits::TEST_AFTER + limits::TEST_WAIT + 400.0);
     let second = w.connecting.pop().expect("a new connection");
     w.node.desk.front.fleet.servers.get_mut(&id).unwrap().died = Some(w.now);
     w.ends(second, End::Closed);
