--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -103,7 +103,7 @@
     /// A node with the list that its configuration holds; connections to those servers are opened at once.
     pub fn new(told: Configuration, now: Ms) -> Result<Node, String> {
         let mut terms = Terms::parse(&told.terms).map_err(|e| format!("settings: {e}"))?;
-        // Changes come here with the answers to questions only, whatever the settings say of the simulator's list.
+        // Changes come here with the answers to questions only, whatever the settings say of a list.
         terms.list = ListWay::Asked { grace: terms.drain_grace };
         terms.may_tell &= told.peers_all.is_some() && told.peer_listen.is_some();
         let servers = told.servers.clone();
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -110,10 +110,10 @@
         weights: Weights::Size,
         link_kb_per_weight: f.within(d.links.link_kb, "link-kb", 0.001, 1e12),
         uplink_kb: f.within(d.links.uplink_kb, "uplink-kb", 0.001, 1e12),
-        // The live list is a stream of events.
         change_cost: 0.0,
+        // The live list is a stream of events.
         list: ListWay::Pushed,
-        drain_grace: 0.0,
+        drain_grace: f64::INFINITY,
         share_delay: f.within(d.reports.delay, "delay", 0.0, 60_000.0),
         columns,
         probe_fed: via == "probe",
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -17,9 +17,9 @@
 const BETA: f64 = 0.5;
 /// Costs that differ by less than this are equal.
 const EQUAL: f64 = 1e-6;
-/// Use, with the session itself, from which a new one gets a lower rung, and the use for each rung lower. The mark
-/// is lower by the part of its link that the session takes, at most by this: where a few sessions fill a link,
-/// the next one is as likely to overfill it.
+/// Use, with the session itself, from which a new one gets a lower rung, and the use for each rung lower. The
+/// mark is lower by the part of its link that the session takes, at most by this: where a few sessions fill a
+/// link, the next one is as likely to overfill it.
 const START_MARK: f64 = 0.8;
 const STEP: f64 = 0.1;
 const COARSE: f64 = 0.1;
@@ -28,13 +28,12 @@
 const MARK: f64 = 0.8;
 /// Use over which playing sessions are stepped down.
 const FULL: f64 = 1.0;
-/// A session changes rung at most once in this time, by the delay of delivered shares: what a change led to has been
-/// heard by then. 2.5 s where news is as late as on the first deployments.
+/// A session changes rung at most once in this time, by the delay of delivered shares: what a change led to
+/// has been heard by then. 2.5 s where news is as late as on the first deployments.
 const HOLD: f64 = 3.0;
 /// Shares delivered under this tell of a link or uplink that is asked too much.
 const SHORT: f64 = 0.98;
-/// What probes may cost, as a share of what sessions earn: as many are paid for by each session. Where they are
-/// dear, most sessions go by the table as it is.
+/// What probes may cost, as a share of what sessions earn: each session pays for as many.
 const PROBE_SHARE: f64 = 0.04;
 /// Time between the probes of a server, for each session that this front has there: probes are priced by
 /// the session. The first one comes sooner.
@@ -65,19 +64,20 @@
 const ASK_WAIT: Ms = 200.0;
 const ASK_MOST: usize = 3;
 const ASK_TARGET: f64 = 0.6;
-/// Messages that reach another front, for each request taken: so much is told whatever the number of fronts, and
-/// all of them together tell the more often the more requests come.
+/// Messages that reach another front, for each request taken: so much is told whatever the number of fronts,
+/// and all of them together tell the more often the more requests come.
 const TELL_SHARE: f64 = 2.0;
 /// How long a busy reply counts as all streams of the server in use.
 const BUSY: Ms = 1_000.0;
 /// An answer is given this long before the viewer gives up.
 const ANSWER_MARGIN: Ms = 30.0;
-/// Where the list is asked for, the time between questions by the grace that a draining server has, and at most:
-/// a question whose answer is lost is followed by others in time.
+/// Where the list is asked for, the time between questions by the grace of a drain, and at most: a question
+/// whose answer is lost is followed by others in time.
 const LIST_PACE: f64 = 0.8;
 const LIST_MOST: Ms = 500.0;
-/// Where it is followed, by the time after which a front counts as told or other news is stale: the first call comes within this share
-/// of it, and after one that failed the next in about this share, doubled for each further one.
+/// Where it is followed, by the time after which a front counts as told or news is stale: the first call
+/// comes within this share of it, and after a failure the next in about this share, doubled for each further
+/// one.
 const LIST_FIRST: f64 = 0.25;
 const LIST_RETRY: f64 = 0.05;
 /// How often the rungs are looked over.
@@ -143,7 +143,8 @@
             let Some(s) = self.fleet.servers.get_mut(&n.server) else { continue };
             let at = now - n.age;
             let lives = s.died.is_some_and(|died| at > died && now - n.since < died);
-            // What this front saw fail answered another one since: its own next SETUP tells whether it does so here.
+            // What this front saw fail answered another one since: its own next SETUP tells whether it does
+            // so here.
             if s.fails > 0 && at > s.failed {
                 self.judge(n.server, None, now);
             }
@@ -164,19 +165,19 @@
         }
     }
 
-    /// Whether fronts tell each other: where there are more of them than servers, so that each has less than one
-    /// server's part to know of. A front with the part of several hears of them often enough by its own sessions
-    /// and probes; two fronts that told each other of every server stepped sessions up and down several times as
-    /// often, for three times the probes.
+    /// Whether fronts tell each other: where there are more of them than servers, so that each has less than
+    /// one server's part to know of. A front with the part of several hears of them often enough by its own
+    /// sessions and probes; two fronts that told each other of every server stepped sessions up and down
+    /// several times as often, for three times the probes.
     fn tells(&self) -> bool {
         let ready = self.fleet.servers.values().filter(|s| s.listed.listing == Listing::Ready);
         self.terms.may_tell && self.terms.fronts as usize > ready.count().max(1)
     }
 
     /// News for the other fronts. A probe's answer is worth as much to each of them as to this one, and their
-    /// probes are priced like its own: each front earns with each request that it takes a part of one message to
-    /// all, asks the servers that it has not heard from of late, and tells what they answer. So news is as old
-    /// everywhere as the fleet's requests pay for, however thin the traffic of one front.
+    /// probes are priced like its own: each front earns with each request that it takes a part of one message
+    /// to all, asks the servers that it has not heard from of late, and tells what they answer. So news is as
+    /// old everywhere as the fleet's requests pay for, however thin the traffic of one front.
     fn tell(&mut self, due: &mut Due, now: Ms) {
         let others = self.terms.fronts.saturating_sub(1) as f64;
         if !self.tells() || !self.terms.probes_tell() {
@@ -184,7 +185,8 @@
         }
         let servers = &self.fleet.servers;
         let heard = |id: &ServerId| servers.get(id).and_then(|s| s.link).map_or(Ms::NEG_INFINITY, |l| l.at);
-        // Only what this front was answered itself: news passed on and on would never end, that of a dead server too.
+        // Only what this front was answered itself: news passed on and on would never end, that of a dead
+        // server too.
         let answered = |id: &ServerId| servers.get(id).map_or(Ms::NEG_INFINITY, |s| s.reported);
         if let Some((asked, since)) = &self.telling {
             if now - since < ASK_WAIT && asked.iter().any(|id| answered(id) < *since) {
@@ -227,13 +229,13 @@
 
     // ---- the list ----
 
-    /// When to ask for the list. Fronts that start together do not ask together: the list is one service for all.
+    /// When to ask for the list. Fronts that start together do not ask together: it is one service for all.
     fn ask_list(&mut self, due: &mut Due, now: Ms) {
         let (first, pace) = match self.terms.list {
             ListWay::Pushed => return,
             ListWay::Followed { told_after } => (told_after.min(STALE) * LIST_FIRST, told_after.min(STALE)),
             ListWay::Asked { grace } => {
-                let pace = (grace * LIST_PACE).clamp(1.0, LIST_MOST);
+                let pace = (grace * LIST_PACE).clamp(COLD_LOOK, LIST_MOST);
                 (pace, pace)
             }
         };
@@ -252,8 +254,7 @@
         }
     }
 
-    /// A call for the list failed, or what was followed broke off: for all fronts at once where the service of the
-    /// list is what fails, so they come again by chance, and later the oftener they fail.
+    /// A call failed, or what was followed broke off: all fronts come again by chance, ever more seldom.
     pub fn list_failed(&mut self, now: Ms) {
         let ListWay::Followed { told_after } = self.terms.list else { return };
         self.list_fails += 1;
@@ -402,8 +403,8 @@
             return Place::NotYet;
         }
         let rung = self.rung_for(&loads, server, s);
-        // Only the first one is cut short: where two take too long, servers are slow and not dead, and SETUPs given up
-        // and sent anew would keep them so.
+        // Only the first one is cut short: where two take too long, servers are slow and not dead, and SETUPs
+        // given up and sent anew would keep them so.
         let further_ok = s.setups == 0 && self.terms.max_setups > 1 && able.len() > 1;
         let timeout = match target_left * FIRST_SHARE {
             t if further_ok && t >= group.start_target * LEAST_TIMEOUT => t.min(left - ANSWER_MARGIN),
@@ -588,7 +589,8 @@
     /// theirs. Others are taken to stand as high as this front's own do, wherever they play: on one line it
     /// has a session or two, or none. Guards against a crowd in which everyone gets too little to go on
     /// watching: there, a busy reply does less harm than one more session. It can turn viewers away for
-    /// nothing while a shortage that was heard is already over; a guess at what was not heard turns nobody away.
+    /// nothing while a shortage that was heard is already over; a guess at what was not heard turns nobody
+    /// away.
     fn has_room(&self, hand: &Hand, loads: &Loads, server: ServerId, new: &Sess) -> bool {
         let floor = |s: &Sess| s.rate(&self.terms, self.terms.groups[s.group.0 as usize].floor);
         let height = self.lowest(hand, |s| s.at.is_some());
@@ -601,8 +603,8 @@
             && !(self.fresh(uplink).is_some() && full(Line::Uplink(rack), self.uplink_use(loads, rack)))
     }
 
-    /// What is left of the load of these sessions once each stands at its lowest rung, as a share of it; a front
-    /// that has none knows nothing of heights and turns nobody away for them.
+    /// What is left of the load of these sessions once each stands at its lowest rung, as a share of it; a
+    /// front that has none knows nothing of heights and turns nobody away for them.
     fn lowest(&self, hand: &Hand, of: impl Fn(&Sess) -> bool) -> f64 {
         let floor = |s: &Sess| s.rate(&self.terms, self.terms.groups[s.group.0 as usize].floor);
         let of = hand.sess.values().filter(|s| of(s));
@@ -696,8 +698,7 @@
         for (id, s) in &hand.sess {
             if s.playing && s.at == Some(server) && s.rung < s.top {
                 let more = terms.rung_utility[s.rung as usize + 1] - terms.rung_utility[s.rung as usize];
-                // A change costs: one that has stood for as long as the higher rung takes to earn it back is
-                // likely to stand for as long again.
+                // What has stood for as long as the change takes to be earned back is likely to stand on.
                 let earns_back = terms.change_cost / more.max(1e-3);
                 if now - s.stepped < (HOLD * terms.share_delay).max(earns_back) {
                     continue;
@@ -740,9 +741,10 @@
             s.may_have_run = Some((server, s.sent));
         }
         s.tried.push(server);
-        // An error is the server's once another one takes the session, or where no other may be asked. Else it is
-        // the session's: one that no server can use would set aside each that is asked. Guards against viewers
-        // that ask for what is not there. Where all holders of a title err alike, none of them is set aside.
+        // An error is the server's once another one takes the session, or where no other may be asked. Else
+        // it is the session's: one that no server can use would set aside each that is asked. Guards against
+        // viewers that ask for what is not there. Where all holders of a title err alike, none of them is set
+        // aside.
         if ending == Ending::Errored {
             s.erred.push(server);
         } else {
@@ -790,9 +792,9 @@
         }
     }
 
-    /// The process of a server is one that was there at that time: what was taken for its death since then was none,
-    /// and it is as warm as before. Guards against a zone that was only cut off for seconds, or connections
-    /// reset, leaving each server alone for its whole warm-up in each front that noticed.
+    /// The process of a server is one that was there at that time: what was taken for its death since then
+    /// was none, and it is as warm as before. Guards against a zone that was only cut off for seconds, or
+    /// connections reset, leaving each server alone for its whole warm-up in each front that noticed.
     pub fn lives(&mut self, server: ServerId, since: Ms) {
         let Some(r) = self.fleet.servers.get_mut(&server) else { return };
         if r.died.is_some_and(|died| since < died) {
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -73,8 +73,9 @@
 pub enum ListWay {
     /// By themselves.
     Pushed,
-    /// By themselves once a call for them was answered; calls fail and what was asked for may break off. A front
-    /// that has not asked for so long, where a time is stated, counts as told of what was listed that long before.
+    /// By themselves once a call for them was answered; calls fail, and what was asked for may break off. A
+    /// front that has not asked for so long, if that is stated, counts as told of what was listed that long
+    /// before.
     Followed { told_after: Ms },
     /// Only with the answer to each question. What leaves takes nothing new for so long after it was told.
     Asked { grace: Ms },
@@ -98,7 +99,7 @@
     /// How late a delivered share is heard.
     pub share_delay: Ms,
     pub list: ListWay,
-    /// How long after a server's drain was told something new may still go there.
+    /// How long after a drain was told something new may still go there; without end where none is stated.
     pub drain_grace: Ms,
     pub columns: Vec<Column>,
     pub probe_fed: bool,
@@ -235,7 +236,7 @@
             uplink_kb: told.some("family_info.uplink_kb")?.unwrap_or(f64::INFINITY),
             share_delay: told.some("family_info.see")?.unwrap_or(0.0),
             list,
-            drain_grace: told.some("safety.drain_grace")?.unwrap_or(0.0),
+            drain_grace: told.some("safety.drain_grace")?.unwrap_or(Ms::INFINITY),
             columns: columns.split(',').filter(|c| !c.is_empty()).map(column).collect(),
             probe_fed: told.text("reporting.via") == Some("pull"),
             may_probe: told.text("limits.probes") == Some("true"),
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -740,6 +740,7 @@
 #[test_case(ListWay::Followed { told_after: Ms::INFINITY }, 3_750.0 => (1, 0); "once, though no time is stated")]
 #[test_case(ListWay::Asked { grace: 250.0 }, 200.0 => (1, 5); "every 200 ms, within the grace")]
 #[test_case(ListWay::Asked { grace: 1_000.0 }, 500.0 => (1, 2); "no more seldom than every 500 ms")]
+#[test_case(ListWay::Asked { grace: Ms::INFINITY }, 500.0 => (1, 2); "no grace is stated: not all the time")]
 fn the_list_is_asked_for_where_it_does_not_come(way: ListWay, first: Ms) -> (usize, usize) {
     let mut f = following(way);
     (calls(&mut f, 0.0, first + 10.0).len(), calls(&mut f, first + 10.0, first + 1_010.0).len())
--- a/tests/terms.rs
+++ b/tests/terms.rs
@@ -43,5 +43,11 @@
 #[test_case("limits.retry_after=true"; "absent")]
 fn what_is_zero_is_as_absent(told: &str) {
     let t = Terms::parse(&format!("{}{told}\n", LEAST.replace("family_info.uplink_kb=4000\n", ""))).unwrap();
-    assert!(t.uplink_kb.is_infinite() && t.come_back.is_none() && t.cold.is_none() && t.budget.is_none());
+    assert!(
+        t.uplink_kb.is_infinite()
+            && t.drain_grace.is_infinite()
+            && t.come_back.is_none()
+            && t.cold.is_none()
+            && t.budget.is_none()
+    );
 }
