The list is followed through late answers and new numbers; a reload that changes more is refused

Seen: three new tests with real connections fail on the text before, each time. - `a_list_that_always_comes_late_is_followed`: core/list.rs kept the ids of 8 questions, 1.6 s at the pace of a grace of 250 ms: a service that answers later was never followed again. 64 are kept, two bytes each. - `numbers_that_begin_anew_are_followed_in_time`: `datagram` took higher numbers only, so a service that counts anew was never heard again. Harm: a service that tells an old list alone for longer is believed. - `a_configuration_that_changes_more_is_left_alone`: `configured` took the address and dropped the rest without a word. What else a document changes is now told by path and the whole document is left alone: classes, zones and columns are positions for the sessions in hand.

By reading: `listed` kept every zone name it was ever told; a name whose servers are gone gives its number back. names.rs read names from the printed form, in which a dot inside a label is escaped, and by exact case; now by labels, case folded.

--- a/crates/cli/tests/crossings.rs
+++ b/crates/cli/tests/crossings.rs
@@ -1,11 +1,13 @@
 //! Events that cross, with real connections: each test makes the bad order happen every time, by what it holds back, by
 //! a process that stands still, or by bytes that fill the way. docs/design/crossings.md lists them.
+#[path = "../../platform/tests/support/dns.rs"]
+mod dns;
 #[path = "support/node.rs"]
 mod node;
 
 use node::*;
 use std::io::Write;
-use std::net::Shutdown;
+use std::net::{Shutdown, SocketAddr, UdpSocket};
 use std::time::{Duration, Instant};
 use test_case::test_case;
 use walnutline_node::limits;
@@ -231,3 +233,156 @@
     assert!(began.elapsed() < Duration::from_millis(600), "{:?}", began.elapsed());
     drop(outside);
 }
+
+/// Answers the node's questions by hand, those that have come by now.
+fn questions(names: &UdpSocket) -> Vec<(Vec<u8>, SocketAddr)> {
+    names.set_nonblocking(true).unwrap();
+    let mut buffer = [0; 512];
+    let all = std::iter::from_fn(|| {
+        names.recv_from(&mut buffer).ok().map(|(n, from)| (buffer[..n].to_vec(), from))
+    });
+    all.collect()
+}
+
+/// The answer to the next question: the server of the test, under that name.
+fn told(names: &UdpSocket, serial: u32, name: &str, server: SocketAddr) {
+    let until = Instant::now() + WAIT;
+    let (question, from) = loop {
+        match questions(names).pop() {
+            Some(question) => break question,
+            None if Instant::now() > until => panic!("no question"),
+            None => std::thread::sleep(Duration::from_millis(5)),
+        }
+    };
+    let answer = dns::list(&question, serial, &[(name, [127, 0, 0, 1], server.port())], "started=0");
+    names.send_to(&answer, from).unwrap();
+}
+
+/// A new server that only the list tells of takes a session; the one before has gone from the list.
+fn follows(b: &Bench, listener: std::net::TcpListener, id: u64) {
+    let mut server = Server::new(listener);
+    let mut viewer = Peer::new(b.viewer());
+    viewer.says(&wanted(id));
+    let (mut at, setup) = server.hears();
+    assert!(setup.starts_with("SETUP"), "{setup}");
+    at.says(&reply(200, 1, id, "b=2\r\n"));
+    assert!(viewer.hears().starts_with("RTSP/1.0 200"));
+}
+
+/// Answers that come seconds late, each after eight more questions.
+#[test]
+fn a_list_that_always_comes_late_is_followed() {
+    let (b, _server) = Bench::by_hand(128, |t| t);
+    let late = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = late.local_addr().unwrap();
+    let mut asked = Vec::new();
+    while asked.len() < 12 {
+        asked.extend(questions(&b.names));
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let (question, from) = &asked[0];
+    let answer =
+        dns::list(question, 9, &[("s-0000000b.depot-a.hosts", [127, 0, 0, 1], at.port())], "started=0");
+    b.names.send_to(&answer, from).unwrap();
+    follows(&b, late, 1);
+}
+
+/// The service begins its numbers anew. One lower number amid others is an older list; nothing else for seconds is not.
+#[test]
+fn numbers_that_begin_anew_are_followed_in_time() {
+    let (b, mut server) = Bench::by_hand(128, |t| t);
+    let anew = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = anew.local_addr().unwrap();
+    told(&b.names, 40, "s-00000001.depot-a.hosts", b.server);
+    told(&b.names, 2, "s-0000000b.depot-a.hosts", at);
+    told(&b.names, 40, "s-00000001.depot-a.hosts", b.server);
+    let (mut viewer, mut first) = setup_out(&b, &mut server, 1);
+    first.says(&reply(200, 1, 1, "b=2\r\n"));
+    viewer.hears();
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_millis(limits::RENUMBERED as u64 + 700) {
+        told(&b.names, 2, "s-0000000b.depot-a.hosts", at);
+    }
+    follows(&b, anew, 2);
+}
+
+/// Discovery is down, and idle connections take all the descriptors there are: those that ask are served, signals are
+/// heard, and the list is followed again once it is told.
+#[test]
+fn idle_connections_while_discovery_is_down_harm_nobody() {
+    let (mut b, mut server) = Bench::by_hand(128, |t| t);
+    let idle: Vec<Peer> = (0..150)
+        .map(|n| {
+            let mut viewer = Peer::new(b.viewer());
+            // Half of them have brought something good, half are silent.
+            if n % 2 == 0 {
+                viewer.says(&wanted(1_000 + n));
+                let (mut at, _) = server.hears();
+                at.says(&(reply(200, 1, 1_000 + n, "b=2\r\n") + &teardown(1_000 + n, Some(31))));
+                assert!(viewer.hears().starts_with("RTSP/1.0 200"));
+                server.keeps(at);
+            }
+            viewer
+        })
+        .collect();
+    let (mut viewer, mut at) = setup_out(&b, &mut server, 1);
+    at.says(&reply(200, 1, 1, "b=2\r\n"));
+    assert!(viewer.hears().starts_with("RTSP/1.0 200"));
+    let moved = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let (old, new) = (b.names.local_addr().unwrap(), moved.local_addr().unwrap());
+    let text = std::fs::read_to_string(&b.document).unwrap().replace(&old.to_string(), &new.to_string());
+    std::fs::write(&b.document, text).unwrap();
+    b.signal("-HUP");
+    let next = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    told(&moved, 9, "s-0000000b.depot-a.hosts", next.local_addr().unwrap());
+    follows(&b, next, 2);
+    b.signal("-TERM");
+    assert!(b.child.wait().unwrap().success());
+    drop(idle);
+}
+
+/// A configuration that changes more than where the list comes from: told by its paths, and taken up in no part.
+#[test]
+fn a_configuration_that_changes_more_is_left_alone() {
+    let (b, mut server) = Bench::by_hand(128, |t| t);
+    let moved = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let (old, new) = (b.names.local_addr().unwrap(), moved.local_addr().unwrap());
+    let text = std::fs::read_to_string(&b.document).unwrap();
+    let text =
+        text.replace(&old.to_string(), &new.to_string()).replace("\"attempts_cap\":3", "\"attempts_cap\":1");
+    // The classes change places: taken up in part, one's viewers would get the other's terms.
+    let text = text
+        .replace("board-loop", "x")
+        .replace("council-notice", "board-loop")
+        .replace("\"x\"", "\"council-notice\"");
+    std::fs::write(&b.document, text).unwrap();
+    b.signal("-HUP");
+    let told =
+        std::iter::repeat_with(|| b.said.recv_timeout(WAIT).unwrap()).find(|l| l.contains("stays as it was"));
+    let told = told.unwrap();
+    assert!(
+        told.contains("settings.limits.attempts_cap") && told.contains("settings.classes.0.name"),
+        "{told}"
+    );
+    std::thread::sleep(Duration::from_millis(300));
+    assert!(questions(&moved).is_empty());
+    let (mut viewer, mut at) = setup_out(&b, &mut server, 1);
+    at.says(&reply(500, 1, 1, ""));
+    server.keeps(at);
+    let (mut at, further) = server.hears();
+    assert!(further.starts_with("SETUP"), "{further}");
+    at.says(&reply(200, 1, 1, "b=2\r\n"));
+    assert!(viewer.hears().starts_with("RTSP/1.0 200"));
+}
+
+/// A node that starts while no server, no name service and no other node answers is ready all the same.
+#[test]
+fn ready_while_nobody_answers() {
+    let began = Instant::now();
+    let (b, server) = Bench::by_hand(128, |t| t);
+    drop(server);
+    let mut front = Peer::new(b.viewer());
+    front.says(&ping(0));
+    assert!(front.hears().starts_with("RTSP/1.0 200"));
+    assert!(began.elapsed() < Duration::from_secs(5), "{:?}", began.elapsed());
+}
--- a/crates/cli/tests/support/node.rs
+++ b/crates/cli/tests/support/node.rs
@@ -47,7 +47,7 @@
         let server = TcpListener::bind("127.0.0.1:0").unwrap();
         let at = server.local_addr().unwrap();
         let bench = Bench::with(at, Arc::new(AtomicU8::new(SERVES)), channel().1, descriptors, change);
-        (bench, Server { listener: server, open: Vec::new() })
+        (bench, Server::new(server))
     }
 
     fn with(
@@ -220,8 +220,12 @@
 }
 
 impl Server {
-    /// Reads all connections until a message other than a question for the load comes; such are answered. The
-    /// connection, and the message.
+    pub fn new(listener: TcpListener) -> Server {
+        Server { listener, open: Vec::new() }
+    }
+
+    /// Reads all connections until something is asked other than the load, which is answered. The connection, and the
+    /// message.
     pub fn hears(&mut self) -> (Peer, String) {
         self.hears_within(WAIT).expect("a message of the node")
     }
@@ -243,7 +247,7 @@
                         "RTSP/1.0 200 OK\r\nCSeq: 3\r\n{session}\r\n{report}\r\nContent-Length: 0\r\n\r\n"
                     );
                     let _ = self.open[n].stream.write_all(answer.as_bytes());
-                } else {
+                } else if !message.starts_with("RTSP/1.0") {
                     return Some((self.open.swap_remove(n), message));
                 }
             }
--- a/crates/node/src/core/list.rs
+++ b/crates/node/src/core/list.rs
@@ -18,11 +18,31 @@
     serial: u32,
     /// Ids of questions that may still be answered.
     asked: VecDeque<u16>,
+    /// Since when, and how often in a row, nothing but lower numbers was told.
+    lower: Option<(Ms, u32)>,
 }
 
 impl Names {
     pub fn new(address: SocketAddr, serial: u32) -> Self {
-        Names { address, serial, asked: VecDeque::new() }
+        Names { address, serial, asked: VecDeque::new(), lower: None }
+    }
+}
+
+impl Names {
+    /// Whether what is told under this number counts. One told in place of a newer one by mistake is passed over; where
+    /// nothing else comes for long, the service has begun its numbers anew.
+    fn is_newer(&mut self, serial: u32, now: Ms) -> bool {
+        if serial >= self.serial {
+            self.lower = None;
+            return serial > self.serial;
+        }
+        let (since, times) = self.lower.get_or_insert((now, 0));
+        *times += 1;
+        let anew = now - *since >= limits::RENUMBERED && *times >= limits::RENUMBERED_ANSWERS;
+        if anew {
+            self.lower = None;
+        }
+        anew
     }
 }
 
@@ -47,17 +67,27 @@
         let Some(at) = self.names.asked.iter().position(|a| *a == id) else { return };
         let Ok(answer) = names::read(bytes, id) else { return };
         self.names.asked.remove(at);
-        if answer.serial > self.names.serial {
+        if self.names.is_newer(answer.serial, now) {
             self.names.serial = answer.serial;
             self.listed(answer.servers, now);
             self.settle(now);
         }
     }
 
-    /// A new configuration, of which the name service's address counts.
+    /// A new configuration, of which the name service's address and the list count. One that changes more than that is
+    /// left alone as a whole: what stands in the settings by position holds for the sessions in hand.
     pub fn configured(&mut self, told: Configuration, now: Ms) {
+        let differs = self.told.differs(&told);
+        if !differs.is_empty() {
+            let (first, more) = (&differs[..differs.len().min(limits::PATHS_TOLD)], differs.len());
+            return self.dos.push(Do::Log(format!(
+                "the configuration stays as it was, a restart takes up what changed: paths={more} {}",
+                first.join(" ")
+            )));
+        }
         self.names.address = told.names;
         self.names.asked.clear();
+        self.names.lower = None;
         if told.last > self.names.serial {
             self.names.serial = told.last;
             self.listed(told.servers, now);
@@ -71,20 +101,22 @@
     pub(super) fn listed(&mut self, lines: Vec<ServerLine>, now: Ms) {
         let mut there = BTreeSet::new();
         let mut listed = Vec::new();
+        for n in self.zones_told..self.told.zones.len() {
+            let name = &self.told.zones[n];
+            let fleet = self.desk.front.fleet.servers.values();
+            let used = fleet.map(|s| usize::from(s.listed.zone.0)).any(|zone| zone == n);
+            if !used && lines.iter().all(|l| l.zone != *name) {
+                self.told.zones[n] = String::new();
+            }
+        }
         for line in lines {
             let id = self.server_id(&line, now);
             there.insert(id);
-            // A zone that the settings do not name is one of its own: taken for another one, what may only be repeated
-            // within a zone would be repeated elsewhere.
-            let zones = &mut self.told.zones;
-            let zone = zones.iter().position(|z| *z == line.zone).unwrap_or_else(|| {
-                zones.push(line.zone.clone());
-                zones.len() - 1
-            });
+            let zone = self.zone(&line.zone);
             let kind = self.told.kinds.iter().position(|k| *k == line.kind).unwrap_or(usize::MAX);
             listed.push(Listed {
                 id,
-                zone: ZoneNo(u16::try_from(zone).unwrap_or(u16::MAX)),
+                zone,
                 kind: KindNo(u8::try_from(kind).unwrap_or(u8::MAX)),
                 cell: CellNo(line.cell),
                 listing: if line.draining { Listing::Draining } else { Listing::Ready },
@@ -105,6 +137,20 @@
         self.call_back(now);
     }
 
+    /// A zone's number. One that the settings do not name is one of its own: taken for another one, what may only be
+    /// repeated within a zone would be repeated elsewhere. Its number is free again once no server is left there.
+    fn zone(&mut self, name: &str) -> ZoneNo {
+        let zones = &mut self.told.zones;
+        let at = zones.iter().position(|z| *z == name).unwrap_or_else(|| {
+            let free = (self.zones_told..zones.len()).find(|n| zones[*n].is_empty());
+            let at = free.unwrap_or(zones.len());
+            zones.resize_with(zones.len().max(at + 1), String::new);
+            zones[at] = name.to_owned();
+            at
+        });
+        ZoneNo(u16::try_from(at).unwrap_or(u16::MAX))
+    }
+
     /// SETUPs that wait for a connection to a server that takes nothing new any more never leave.
     fn call_back(&mut self, now: Ms) {
         let ready = |id: &ServerId| self.servers.get(id).is_some_and(|s| s.listing == Listing::Ready);
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -74,6 +74,8 @@
     pub desk: Desk,
     /// Names of the settings by their positions, and the waits that the settings state.
     told: Configuration,
+    /// Zones that the settings name; further ones come with the list.
+    zones_told: usize,
     sess: BTreeMap<SessId, Session>,
     viewers: BTreeMap<ConnId, Viewer>,
     most_viewers: usize,
@@ -111,6 +113,7 @@
         let most_viewers = limits::viewers(told.sockets, servers.len());
         let mut node = Node {
             desk: Desk::new(terms, told.seed, now),
+            zones_told: told.zones.len(),
             sess: BTreeMap::new(),
             viewers: BTreeMap::new(),
             most_viewers,
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -39,8 +39,14 @@
 /// Releases that found no viewer's connection are kept for so long, and so many of them.
 pub const RELEASE_KEPT: Ms = 8_000.0;
 pub const RELEASES: usize = 4_096;
-/// Questions whose answers are still taken.
-pub const ASKED: usize = 8;
+/// Questions whose answers are still taken: those of the last ten seconds and more, at the pace of the shortest grace seen.
+pub const ASKED: usize = 64;
+/// A name service that has told nothing but lower numbers than the one known, for so long and so often, counts anew. An
+/// older list that is told by mistake is followed by newer ones within 4.5 s.
+pub const RENUMBERED: Ms = 5_000.0;
+pub const RENUMBERED_ANSWERS: u32 = 4;
+/// Paths of what a new configuration changes that are told in the log.
+pub const PATHS_TOLD: usize = 8;
 /// How often connections are looked over.
 pub const SWEEP: Ms = 250.0;
 /// After being told to stop, requests still come for so long; then the node ends once nothing is owed.
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -1,4 +1,6 @@
 //! The core of a node without sockets.
+#[path = "../../platform/tests/support/dns.rs"]
+mod dns;
 mod support;
 
 use proptest::prelude::*;
@@ -496,23 +498,7 @@
     line: Option<(&'static str, [u8; 4], u16)>,
     started: &'static str,
 ) -> Vec<u8> {
-    use simple_dns::rdata::{RData, A, SOA, SRV, TXT};
-    use simple_dns::{Name, Packet, ResourceRecord, CLASS};
-    let asked = &w.queries.last().unwrap().1;
-    let mut p = Packet::new_reply(u16::from_be_bytes([asked[0], asked[1]]));
-    let name = Name::new_unchecked;
-    let record = |n, data| ResourceRecord::new(name(n), CLASS::IN, 0, data);
-    if let Some((target, ip, port)) = line {
-        let srv = SRV { priority: 0, weight: 30, port, target: name(target) };
-        let txt = ["kind=box-3c", "cell=0", started];
-        let txt = txt.into_iter().fold(TXT::new(), |t, s| t.with_string(s).unwrap());
-        p.answers.push(record(walnutline_platform::names::LIST, RData::SRV(srv)));
-        p.additional_records.push(record(target, RData::A(A { address: u32::from_be_bytes(ip) })));
-        p.additional_records.push(record(target, RData::TXT(txt)));
-    }
-    let soa = SOA { mname: name("a"), rname: name("b"), serial, refresh: 0, retry: 0, expire: 0, minimum: 0 };
-    p.name_servers.push(record("farm.lan", RData::SOA(soa)));
-    p.build_bytes_vec_compressed().unwrap()
+    dns::list(&w.queries.last().unwrap().1, serial, line.as_slice(), started)
 }
 
 /// A new server at the address of one that has gone takes nothing over; what is gone and unused is forgotten.
--- a/crates/platform/src/configuration.rs
+++ b/crates/platform/src/configuration.rs
@@ -2,7 +2,7 @@
 use crate::ServerLine;
 use serde::Deserialize;
 use serde_json::Value;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// What a node takes from its configuration.
@@ -127,6 +127,34 @@
     })
 }
 
+impl Configuration {
+    /// Paths of what another document tells differently and a running node does not take up: all but the name service's
+    /// address, the list, and the seed, which is new with each start.
+    pub fn differs(&self, other: &Configuration) -> Vec<String> {
+        let rest = [
+            ("limits.sockets", self.sockets != other.sockets),
+            ("peer_listen", self.peer_listen != other.peer_listen),
+            ("peers", self.peers != other.peers),
+            ("peers_all", self.peers_all != other.peers_all),
+        ];
+        let lines = |terms: &str| -> BTreeMap<String, String> {
+            terms.lines().filter_map(|l| l.split_once('=')).map(|(k, v)| (k.into(), v.into())).collect()
+        };
+        let (ours, theirs) = (lines(&self.terms), lines(&other.terms));
+        let both: BTreeSet<&String> = ours.keys().chain(theirs.keys()).collect();
+        let settings = both.into_iter().filter(|path| ours.get(*path) != theirs.get(*path));
+        let mut paths: Vec<String> = settings.map(|path| format!("settings.{path}")).collect();
+        // The lines fold what would part them: names are compared as they are told.
+        let names =
+            |c: &Configuration| (c.classes.clone(), c.zones.clone(), c.kinds.clone(), c.columns.clone());
+        if paths.is_empty() && names(self) != names(other) {
+            paths.push("settings: names".into());
+        }
+        paths.extend(rest.iter().filter(|(_, differs)| *differs).map(|(path, _)| (*path).into()));
+        paths
+    }
+}
+
 /// The list that a row of changes leads to.
 fn listed(changes: Vec<Change>) -> Result<Vec<ServerLine>, String> {
     let mut servers: BTreeMap<String, ServerLine> = BTreeMap::new();
--- a/crates/platform/src/names.rs
+++ b/crates/platform/src/names.rs
@@ -43,6 +43,8 @@
 pub fn read(bytes: &[u8], id: u16) -> Result<Answer, Bad> {
     let packet = Packet::parse(bytes).map_err(|_| Bad::Unreadable)?;
     let same = |name: &Name, other: &str| name.to_string().eq_ignore_ascii_case(other);
+    // Names are the same in any case of their letters.
+    let key = |name: &Name| name.to_string().to_ascii_lowercase();
     let asked = packet.questions.first().is_none_or(|q| same(&q.qname, LIST));
     if packet.id() != id || !packet.has_flags(PacketFlag::RESPONSE) || !asked {
         return Err(Bad::Other);
@@ -58,8 +60,8 @@
     let mut texts = HashMap::new();
     for r in packet.answers.iter().chain(&packet.additional_records) {
         match &r.rdata {
-            RData::A(a) => drop(addresses.insert(r.name.to_string(), Ipv4Addr::from(a.address))),
-            RData::TXT(txt) => drop(texts.insert(r.name.to_string(), txt.attributes())),
+            RData::A(a) => drop(addresses.insert(key(&r.name), Ipv4Addr::from(a.address))),
+            RData::TXT(txt) => drop(texts.insert(key(&r.name), txt.attributes())),
             _ => {}
         }
     }
@@ -69,17 +71,18 @@
         if !same(&r.name, LIST) {
             continue;
         }
-        let target = srv.target.to_string();
+        let target = key(&srv.target);
         let address = addresses.get(&target).ok_or(Bad::Incomplete)?;
         let told = texts.get(&target).ok_or(Bad::Incomplete)?;
         let text = |key: &str| told.get(key).cloned().flatten().ok_or(Bad::Incomplete);
-        let mut labels = target.split('.');
+        // By the labels' own bytes: a dot or a space inside of one is part of a name.
+        let mut labels = srv.target.as_bytes().map(|l| String::from_utf8_lossy(l).into_owned());
         let (name, zone) = labels.next().zip(labels.next()).ok_or(Bad::Incomplete)?;
         let started: f64 = text("started")?.parse().map_err(|_| Bad::Incomplete)?;
         servers.push(ServerLine {
-            name: name.to_owned(),
+            name,
             address: SocketAddr::from((*address, srv.port)),
-            zone: zone.to_owned(),
+            zone,
             kind: text("kind")?,
             cell: text("cell")?.parse().map_err(|_| Bad::Incomplete)?,
             draining: srv.priority != 0,
