Shares of a cold server are further apart by the time that a SETUP waits for its connection

Seen: `tests/cold.rs` sums the decisions of 1, 2, 20, 30 and 300 fronts at one server, in every span. On the text before, 7 of 13 cases go beyond N + 2 x root of N + 2: 108 of 60 with one front and with two, 360 of 200 with thirty, 1,200 of 900 with 300. Cause: `cold_wait` counts a front's share from its decision; a SETUP may wait `limits.connect_timeout` for its connection, so the end of one share and the beginning of the next arrive together. Shares are now that much further apart, and a front that has just started waits as long. All 13 cases hold, with restarts, with a list told up to 4.5 s late, with a fifth of the fronts told half their number. Also: `Node::new` took the number of nodes from the settings alone; where the list of peers is longer, or the settings say nothing, each node took a larger part than its own. The larger of the two counts.

Checked and cleared: the share is rounded down, so no sum goes over by rounding. Not covered: a process that starts anew under its id before the list tells, for nodes that did not see the old one die (docs/design.md).

--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -110,6 +110,8 @@
         let mut terms = Terms::parse(&told.terms).map_err(|e| format!("settings: {e}"))?;
         // Changes come here with the answers to questions only, whatever the settings say of a list.
         terms.list = ListWay::Asked { grace: terms.drain_grace };
+        // Each node sends its share: as many as either tells.
+        terms.fronts = terms.fronts.max(u32::try_from(told.peers.len()).unwrap_or(u32::MAX));
         terms.may_tell &= told.peers_all.is_some() && told.peer_listen.is_some();
         let servers = told.servers.clone();
         let most_viewers = limits::viewers(told.sockets, servers.len());
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -284,6 +284,19 @@
     NODE.replace("\"names\":", &to).replace("\"probes\":true", "\"probes\":true,\"peer_messages\":true")
 }
 
+/// Every node sends its share to a cold server. Guards against a budget shared by fewer than there are, where the settings
+/// tell of fewer or of none.
+#[test]
+fn as_many_share_a_cold_server_as_either_tells_of() {
+    let fronts = |document: &str| World::with(document).node.desk.front.terms.fronts;
+    let peers: Vec<String> = (1..=30).map(|n| format!("\"127.0.0.{n}:7946\"")).collect();
+    let many = with_peers().replace(&format!("\"{PEER}\""), &peers.join(","));
+    assert_eq!((fronts(NODE), fronts(&with_peers())), (2, 2));
+    assert_eq!(fronts(&many), 30);
+    assert_eq!(fronts(&many.replace("\"balancers\":2,", "")), 30);
+    assert_eq!(fronts(&many.replace("\"balancers\":2,", "\"balancers\":40,")), 40);
+}
+
 /// Guards against a new process, still cold, that passes for the old one because it answered another node already.
 #[test]
 fn what_another_node_heard_proves_no_life_here() {
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -97,6 +97,7 @@
         from: f.within(c.from, "from", 0.0, 1.0),
         multiple: f.within(c.multiple, "multiple", 0.01, 1e3),
         span: f.time(c.span, "span"),
+        reach: f.time(d.waits.connect, "connect"),
     });
     let terms = Terms {
         fronts: f.whole(d.fronts, "fronts", 1.0, 1e6) as u32,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -342,7 +342,7 @@
                 if s.setups > 0 && self.terms.budget.is_some() {
                     self.further.push_back(now);
                 }
-                let span = self.terms.cold.map_or(0.0, |c| c.span);
+                let span = self.terms.cold.map_or(0.0, |c| c.span + c.reach);
                 let to = self.fleet.servers.get_mut(server).expect("a holder");
                 to.sent_cold.retain(|t| *t > now - span);
                 to.sent_cold.push(now);
@@ -804,10 +804,10 @@
     }
 
     /// How long until a SETUP may go to this server, if it may be cold; `None` if it may go now. All fronts
-    /// share the budget of a cold server: where it leaves each front one SETUP or more in a span, that is its
-    /// share; else the server is left alone until it is warm, as no front can know what the others send. Only
-    /// the warmth at the start is certain. A front that has just started has spent its share. Harms where
-    /// much of a fleet is cold at once: the rest must carry all.
+    /// share its budget: where that leaves each one SETUP or more in a span, that is its share; else the
+    /// server is left alone until warm, as no front can know what others send. Only the warmth at the start is
+    /// certain. A front that starts has spent its share; shares are further apart than a span, as a SETUP may
+    /// wait for its connection. Harms where much of a fleet is cold at once: the rest must carry all.
     fn cold_wait(&self, server: &ServerId, now: Ms) -> Option<Ms> {
         let cold = self.terms.cold?;
         let r = &self.fleet.servers[server];
@@ -825,10 +825,11 @@
         if share < 1.0 {
             return Some(warm_at - now);
         }
-        let recent = r.sent_cold.iter().filter(|t| **t > now - cold.span);
-        let mut wait: Ms = (self.born + cold.span - now).max(0.0);
+        let span = cold.span + cold.reach;
+        let recent = r.sent_cold.iter().filter(|t| **t > now - span);
+        let mut wait: Ms = (self.born + span - now).max(0.0);
         if recent.clone().count() as f64 >= share {
-            wait = wait.max(recent.fold(Ms::INFINITY, |a, b| a.min(*b)) + cold.span - now);
+            wait = wait.max(recent.fold(Ms::INFINITY, |a, b| a.min(*b)) + span - now);
         }
         (wait > 0.0).then_some(wait)
     }
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -49,6 +49,8 @@
     pub from: f64,
     pub multiple: f64,
     pub span: Ms,
+    /// How long a SETUP may wait for its connection: so much later it may reach the server.
+    pub reach: Ms,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -207,6 +209,7 @@
                 from: told.need("safety.cold_from")?,
                 multiple: told.need("safety.tip_multiple")?,
                 span: told.need("safety.tip_after")?,
+                reach: told.some("limits.connect_timeout")?.unwrap_or(0.0),
             }),
             None => None,
         };
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -108,7 +108,7 @@
 }
 
 pub fn cold() -> ColdTerms {
-    ColdTerms { lasts: 10_000.0, from: 0.5, multiple: 3.0, span: 1_000.0 }
+    ColdTerms { lasts: 10_000.0, from: 0.5, multiple: 3.0, span: 1_000.0, reach: 0.0 }
 }
 
 pub fn budget() -> Budget {
