--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -59,7 +59,10 @@
                     all[n] = self.front(n as u32, &mut rng, now);
                     next[n] = now + self.restarts.unwrap_or(Ms::INFINITY) * (0.5 + rng.f64());
                 }
-                while now >= told[n] {
+                if now < told[n] {
+                    continue;
+                }
+                loop {
                     let mut h =
                         hand([Sess { holders: cells(0, 1), came: now, until: now + 3_000.0, ..sess() }]);
                     let Place::Setup { .. } = all[n].place(&mut h, SessId(1), now) else { break };
