--- a/crates/node/src/core/care.rs
+++ b/crates/node/src/core/care.rs
@@ -45,7 +45,7 @@
             }
             Due::Test { conn, id } => self.test_due(conn, id, now),
             Due::Reconnect { server } => {
-                if self.servers.get(&server).is_some_and(|s| !s.standing.is_empty()) {
+                if self.servers.get(&server).is_some_and(|s| s.is_needed()) {
                     self.keep_up(server, now);
                 }
             }
@@ -93,10 +93,10 @@
         let mut again = Vec::new();
         for (id, s) in &self.servers {
             // What ended there is told on the next connection opened, and owed to a viewer in time.
-            if s.lines.is_empty() && !s.standing.is_empty() && now - s.parted >= limits::PARTED {
+            if s.lines.is_empty() && s.is_needed() && now - s.parted >= limits::PARTED {
                 again.push(*id);
             }
-            let used = !s.standing.is_empty();
+            let used = s.is_needed();
             let up: Vec<ConnId> =
                 s.lines.iter().copied().filter(|c| self.lines.get(c).is_some_and(|l| l.up)).collect();
             for (n, conn) in up.iter().enumerate() {
--- a/crates/node/src/core/servers.rs
+++ b/crates/node/src/core/servers.rs
@@ -74,6 +74,20 @@
     pub used: Ms,
 }
 
+impl Server {
+    /// Whether something stands there, or is still to be told.
+    pub fn is_needed(&self) -> bool {
+        !self.standing.is_empty() || !self.unsent.is_empty()
+    }
+
+    /// Releases that were not heard on a connection that is over go out on the next one.
+    fn keep_unheard(&mut self, releases: VecDeque<(Ms, SessId)>, now: Ms) {
+        for (_, id) in releases.into_iter().filter(|(at, _)| now - at < limits::RELEASE_KEPT) {
+            self.unsent.entry(id).or_insert(Unsent::Release);
+        }
+    }
+}
+
 impl Line {
     fn is_over(&mut self, id: SessId) {
         if self.given_up.len() >= limits::GIVEN_UP {
@@ -126,11 +140,12 @@
 
     /// Closes a connection that is well: nothing is proved by its end.
     fn let_go(&mut self, conn: ConnId, server: ServerId, now: Ms) {
+        let line = self.lines.remove(&conn);
         if let Some(s) = self.servers.get_mut(&server) {
             s.lines.retain(|c| *c != conn);
             s.parted = now;
+            line.into_iter().for_each(|line| s.keep_unheard(line.releases, now));
         }
-        self.lines.remove(&conn);
         self.dos.push(Do::Close { conn });
     }
 
@@ -193,9 +208,7 @@
             s.fails += 1;
         }
         if line.up {
-            for (_, id) in line.releases.into_iter().filter(|(at, _)| now - at < limits::RELEASE_KEPT) {
-                s.unsent.entry(id).or_insert(Unsent::Release);
-            }
+            s.keep_unheard(line.releases, now);
         }
         // Nobody listens, and no other connection is open, which would be reset: its process is gone, and what stood
         // there is cut. A machine that takes no new connection
@@ -206,7 +219,7 @@
         let others = s.lines.iter().any(|c| self.lines.get(c).is_some_and(|l| l.up));
         if end == End::Refused && !others || !line.up && silent || gone {
             self.cut(server, now);
-        } else if !self.servers[&server].standing.is_empty() || !self.servers[&server].unsent.is_empty() {
+        } else if self.servers[&server].is_needed() {
             if line.up {
                 // What the server sent on it may be lost; releases are sent again on the next one opened.
                 self.connect(server, now);
@@ -367,6 +380,7 @@
         };
         if let (Unsent::Release, Some(line)) = (what, self.lines.get_mut(&conn)) {
             line.releases.retain(|(at, _)| now - at < limits::RELEASE_KEPT);
+            line.releases.truncate(limits::RELEASES - 1);
             line.releases.push_back((now, id));
         }
         self.dos.push(Do::Write { conn, bytes });
--- a/crates/node/src/core/viewers.rs
+++ b/crates/node/src/core/viewers.rs
@@ -306,6 +306,7 @@
             Some((conn, v)) => {
                 self.dos.push(Do::Write { conn, bytes: viewer::release(owed.id, owed.cause) });
                 v.releases.retain(|o| owed.since - o.since < limits::RELEASE_KEPT);
+                v.releases.truncate(limits::RELEASES - 1);
                 v.releases.push_back(owed);
             }
             None => {
