The reload test changes the name service alone; its document also told other descriptors

The test wrote a document with `sockets` 256 to a node started with 128, by oversight, and expected its address to count. A reload that changes more than it may is left alone as a whole now (`a_configuration_that_changes_more_is_left_alone`), so the test failed: wrong in its document, not in what it asks. It asks the same of the node's own document with another address, and still that a broken one changes nothing.

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -127,13 +127,15 @@
     let b = Bench::start();
     let mut query = [0; 512];
     b.names.recv_from(&mut query).expect("a query at the first name service");
+    let good = std::fs::read_to_string(&b.document).unwrap();
     std::fs::write(&b.document, "{").unwrap();
     b.signal("-HUP");
     let second = UdpSocket::bind("127.0.0.1:0").unwrap();
     second.set_read_timeout(Some(WAIT)).unwrap();
     let first = b.names.local_addr().unwrap().to_string();
-    let text = NODE.replace("127.0.0.1:1053", &second.local_addr().unwrap().to_string());
-    assert_ne!(text, first);
+    // The node's own document but for the name service: one that changes its descriptors as well is left alone.
+    let text = good.replace(&first, &second.local_addr().unwrap().to_string());
+    assert_ne!(text, good);
     std::fs::write(&b.document, text).unwrap();
     b.signal("-HUP");
     second.recv_from(&mut query).expect("a query at the second name service");
