--- a/crates/platform/tests/codecs.rs
+++ b/crates/platform/tests/codecs.rs
@@ -197,6 +197,7 @@
         family_info.level_kb=190.0,334.0,589.0,1036.0,1824.0\nfamily_info.level_worth=0.22,0.44,0.64,0.82,1.0\n\
         family_info.licence_cap=0,0\nfamily_info.link_unit_kb=3037.0\nfamily_info.places=12\n\
         family_info.racks=2\nfamily_info.see=778.493\nfamily_info.uplink_kb=48379.0\nlimits.attempts_cap=3\n\
+        limits.connect_timeout=250.0\n\
         limits.max_retry_after=1000.0\nlimits.probes=true\nlimits.retry_after=true\n\
         reporting.columns=inflight,x0\nreporting.via=pull\nsafety.cold=12000.0\nsafety.cold_from=0.4\n\
         safety.drain_grace=250.0\nsafety.tip_after=1000.0\nsafety.tip_multiple=2.0\n";
