--- a/crates/cli/tests/crossings.rs
+++ b/crates/cli/tests/crossings.rs
@@ -100,6 +100,34 @@
     drop(kept);
 }
 
+/// The viewer goes while its SETUP waits for a connection, which comes up late: all places of those that wait to be
+/// taken in are filled meanwhile.
+#[test_case(Goes::Cancels; "cancels")]
+#[test_case(Goes::Closes; "closes")]
+#[test_case(Goes::HalfCloses; "half closes")]
+fn who_goes_while_a_connection_comes_up_gets_no_setup(how: Goes) {
+    let (b, mut server) =
+        Bench::by_hand(128, |t| t.replace("\"connect_timeout\":250.0", "\"connect_timeout\":9000.0"));
+    let fill = |_| {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.set_nonblocking(true).unwrap();
+        let _ = socket.connect(&b.server.into());
+        socket
+    };
+    let filled: Vec<socket2::Socket> = (0..300).map(fill).collect();
+    let mut viewer = Peer::new(b.viewer());
+    viewer.says(&wanted(1));
+    // Past the time for which a probe's answer is waited for: the SETUP itself waits now.
+    std::thread::sleep(Duration::from_millis(500));
+    let kept = go(viewer, 1, how);
+    drop(filled);
+    // The connection comes up with the next try of the kernel, after a second or three.
+    let heard = server.hears_within(Duration::from_millis(3_500));
+    assert!(heard.is_none(), "{:?}", heard.map(|h| h.1));
+    assert!(server.met_a_probe(), "no connection came up");
+    drop(kept);
+}
+
 /// The first SETUP failed, and the viewer goes behind so many unheard bytes that the failure is heard first.
 /// The node stands still until both are there.
 #[test_case(Goes::Cancels; "cancels")]
--- a/crates/cli/tests/support/node.rs
+++ b/crates/cli/tests/support/node.rs
@@ -218,11 +218,12 @@
 pub struct Server {
     pub listener: TcpListener,
     open: Vec<Peer>,
+    probes: usize,
 }
 
 impl Server {
     pub fn new(listener: TcpListener) -> Server {
-        Server { listener, open: Vec::new() }
+        Server { listener, open: Vec::new(), probes: 0 }
     }
 
     /// Reads all connections until something is asked other than the load, which is answered. The connection,
@@ -242,6 +243,7 @@
             for n in 0..self.open.len() {
                 let Some(message) = self.open[n].hears_within(Duration::from_millis(2)) else { continue };
                 if message.starts_with("OPTIONS") {
+                    self.probes += 1;
                     let report = "X-Circuits: inflight:1;x0:0.2";
                     let session = session_of(&message);
                     let answer = format!(
@@ -256,6 +258,11 @@
         None
     }
 
+    /// Whether it was asked for its load, on a connection that came up.
+    pub fn met_a_probe(&self) -> bool {
+        self.probes > 0
+    }
+
     /// Gives a connection back to be read with the others.
     pub fn keeps(&mut self, peer: Peer) {
         self.open.push(peer);
