A connection that finds no descriptor here is not held against its server

Such an end is now told apart (`End::Unopened`): the SETUP never left, and nothing is held against the server. Test: `a_connection_that_could_not_be_opened_here_tells_nothing_of_its_server` (core).

--- a/crates/node/src/core/servers.rs
+++ b/crates/node/src/core/servers.rs
@@ -203,7 +203,7 @@
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.lines.retain(|c| *c != conn);
         s.broke = now;
-        if !line.up {
+        if !line.up && end != End::Unopened {
             s.fails += 1;
         }
         if line.up {
@@ -213,7 +213,7 @@
         // there is cut. A machine that takes no new connection
         // and says nothing on an old one is gone as well. One that is gone from the list is not asked again: its
         // address may be another's.
-        let silent = now - s.heard > limits::TEST_AFTER && s.fails > 0;
+        let silent = now - s.heard > limits::TEST_AFTER && s.fails > 0 && end != End::Unopened;
         let gone = s.listing == Listing::Gone && s.lines.is_empty();
         let others = s.lines.iter().any(|c| self.lines.get(c).is_some_and(|l| l.up));
         if end == End::Refused && !others || !line.up && silent || gone {
@@ -227,7 +227,11 @@
                 self.timers.set(now + wait, Due::Reconnect { server });
             }
         }
-        let ending = if line.up { Ending::Broken } else { Ending::NoConnection };
+        let ending = match (line.up, end) {
+            (true, _) => Ending::Broken,
+            (false, End::Unopened) => Ending::NeverSent,
+            (false, _) => Ending::NoConnection,
+        };
         for id in line.out {
             let written = matches!(self.sess.get(&id).map(|s| &s.stage),
                 Some(Stage::Asked { out: Some(out), .. }) if out.written);
--- a/crates/node/src/edge/hub.rs
+++ b/crates/node/src/edge/hub.rs
@@ -168,8 +168,13 @@
                         self.open.insert(conn, Open { socket, backlog: Vec::new() });
                     }
                     Err(e) => {
-                        let refused = e.kind() == std::io::ErrorKind::ConnectionRefused;
-                        let end = if refused { End::Refused } else { End::Closed };
+                        let end = match e.raw_os_error() {
+                            Some(libc::ECONNREFUSED) => End::Refused,
+                            Some(libc::EMFILE | libc::ENFILE | libc::ENOBUFS | libc::ENOMEM) => End::Unopened,
+                            // Its reader could not be started.
+                            None => End::Unopened,
+                            _ => End::Closed,
+                        };
                         self.node.closed(conn, end, self.clock.now());
                     }
                 }
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -57,4 +57,6 @@
     /// Nobody listens there.
     Refused,
     Closed,
+    /// There was no descriptor for it, or no memory: that tells nothing of the peer.
+    Unopened,
 }
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -464,6 +464,24 @@
     assert!(w.exited);
 }
 
+/// No descriptor for a connection: that is not its server's fault, which is neither set aside nor taken for dead.
+#[test]
+fn a_connection_that_could_not_be_opened_here_tells_nothing_of_its_server() {
+    let mut w = World::new();
+    w.open_at_once = false;
+    let viewer = w.viewer();
+    w.says(viewer, &wanted(1, ""));
+    for _ in 0..20 {
+        while let Some(conn) = w.connecting.pop() {
+            w.ends(conn, End::Unopened);
+        }
+        w.pass(20.0);
+    }
+    assert!(w.find("RTSP/1.0 503").is_some(), "{:?}", w.out);
+    let servers = &w.node.desk.front.fleet.servers;
+    assert!(servers.values().all(|s| s.fails == 0 && s.died.is_none()), "{servers:?}");
+}
+
 /// A server that does not read: nothing is left behind on the way to it, and another one is asked.
 #[test]
 fn a_set_up_that_a_connection_does_not_take_goes_elsewhere() {
