Releases for a server out of reach wait for its next connection; a test that could hang ends

By reading the change again: a release that waits was dropped when its server was only silent, and one of a connection that was let go waited though another was open. It goes out on another open connection at once, else on the next that is opened for whatever reason; none is opened again and again for it (`a_release_for_a_server_out_of_reach_...`, core). Room for 4 viewers more while none can be closed. Seen: `who_sends_without_end_has_few_pieces_in_the_queue` stood still for 19 minutes in one of some 30 runs. It kept the descriptor of a connection that was shut while the peer's window was closed: since readers end at once on a shutdown nobody drains it, and the peer hears only of the close. The node drops the descriptor with the reader; the test does so now, too.

--- a/crates/cli/tests/crossings.rs
+++ b/crates/cli/tests/crossings.rs
@@ -100,8 +100,8 @@
     drop(kept);
 }
 
-/// The viewer goes while its SETUP waits for a connection, which comes up late: all places of those that wait to be
-/// taken in are filled meanwhile.
+/// The viewer goes while its SETUP waits for a connection, which comes up late: all places of those that wait
+/// to be taken in are filled meanwhile.
 #[test_case(Goes::Cancels; "cancels")]
 #[test_case(Goes::Closes; "closes")]
 #[test_case(Goes::HalfCloses; "half closes")]
--- a/crates/node/src/core/servers.rs
+++ b/crates/node/src/core/servers.rs
@@ -74,9 +74,11 @@
 }
 
 impl Server {
-    /// Whether something stands there, or is still to be told.
+    /// Whether a connection is wanted: something stands there, or is still to be told. One that could not be
+    /// opened is not tried again for the latter alone: what is to be told goes out on the next one that is
+    /// opened.
     pub fn is_needed(&self) -> bool {
-        !self.standing.is_empty() || !self.unsent.is_empty()
+        !self.standing.is_empty() || !self.unsent.is_empty() && self.fails == 0
     }
 
     /// Releases that were not heard on a connection that is over go out on the next one.
@@ -139,13 +141,18 @@
 
     /// Closes a connection that is well: nothing is proved by its end.
     fn let_go(&mut self, conn: ConnId, server: ServerId, now: Ms) {
-        let line = self.lines.remove(&conn);
-        if let Some(s) = self.servers.get_mut(&server) {
-            s.lines.retain(|c| *c != conn);
-            s.parted = now;
-            line.into_iter().for_each(|line| s.keep_unheard(line.releases, now));
-        }
+        let releases = self.lines.remove(&conn).map(|line| line.releases).unwrap_or_default();
         self.dos.push(Do::Close { conn });
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        s.lines.retain(|c| *c != conn);
+        s.parted = now;
+        match s.lines.iter().copied().find(|c| self.lines.get(c).is_some_and(|l| l.up)) {
+            None => s.keep_unheard(releases, now),
+            Some(other) => {
+                let young = releases.into_iter().filter(|(at, _)| now - at < limits::RELEASE_KEPT);
+                young.for_each(|(_, id)| self.write_to_server(other, id, Unsent::Release, now));
+            }
+        }
     }
 
     /// Sees to it that a server has a connection, or one that is being opened.
@@ -216,6 +223,9 @@
         let silent = now - s.heard > limits::TEST_AFTER && s.fails > 0 && end != End::Unopened;
         let gone = s.listing == Listing::Gone && s.lines.is_empty();
         let others = s.lines.iter().any(|c| self.lines.get(c).is_some_and(|l| l.up));
+        if end == End::Refused && !others {
+            s.unsent.clear();
+        }
         if end == End::Refused && !others || !line.up && silent || gone {
             self.cut(server, now);
         } else if self.servers[&server].is_needed() {
@@ -254,9 +264,6 @@
             Some(Stage::Stands { since, .. }) => *since < then,
             _ => true,
         };
-        if then == Ms::INFINITY {
-            s.unsent.clear();
-        }
         let standing: Vec<SessId> = s.standing.iter().copied().filter(old).collect();
         for id in &standing {
             s.standing.remove(id);
--- a/crates/node/src/core/viewers.rs
+++ b/crates/node/src/core/viewers.rs
@@ -32,7 +32,8 @@
     /// A viewer's connection was taken in. At the most that are held, the one that can best be done without is
     /// closed: one that never brought a set-up, then one idle for longest.
     pub fn accepted(&mut self, conn: ConnId, now: Ms) {
-        if self.viewers.len() >= self.most_viewers && !self.retire_one(now) {
+        let full = self.viewers.len() >= self.most_viewers && !self.retire_one(now);
+        if full && self.viewers.len() >= self.most_viewers + limits::VIEWERS_OVER {
             return self.dos.push(Do::Close { conn });
         }
         let viewer = Viewer {
--- a/crates/node/src/edge/socket.rs
+++ b/crates/node/src/edge/socket.rs
@@ -119,8 +119,8 @@
         self.wake();
     }
 
-    /// Ends the reader. A connection that is being opened need not tell of its shutdown: its reader would wait for
-    /// ever and hold the descriptor.
+    /// Ends the reader. A connection that is being opened need not tell of its shutdown: its reader would
+    /// wait for ever and hold the descriptor.
     fn wake(&self) {
         self.shut.store(true, Ordering::SeqCst);
         self.io.waker().wakeup();
@@ -149,7 +149,7 @@
 impl Gate {
     /// A few more than the core holds: it closes one for each that comes in beyond.
     pub fn new(most: usize) -> Self {
-        Gate { most: most + 4, open: AtomicUsize::new(0), waiting: Mutex::new(None) }
+        Gate { most: most + limits::VIEWERS_OVER, open: AtomicUsize::new(0), waiting: Mutex::new(None) }
     }
 
     fn left(&self) {
--- a/crates/node/src/edge/socket/tests.rs
+++ b/crates/node/src/edge/socket/tests.rs
@@ -41,8 +41,8 @@
     ends(conn, socket, &news);
 }
 
-/// The same where the shutdown makes no event, as on the operators' platform: one in fifty connections to servers
-/// never came up there, and each left a descriptor behind.
+/// The same where the shutdown makes no event, as on the operators' platform: one in fifty connections to
+/// servers never came up there, and each left a descriptor behind.
 #[test]
 fn a_connect_that_hangs_ends_without_an_event() {
     let slow = socket2::Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
@@ -91,7 +91,8 @@
     kept.clear();
     assert_eq!(bytes(&mut kept), 1, "read on once they are handled");
     [&flood, &other].iter().for_each(|s| s.shut());
-    drop((kept, news));
+    // With its descriptor: a peer whose window is closed hears of nothing else.
+    drop((kept, news, flood, other));
     sender.join().unwrap();
 }
 
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -73,6 +73,9 @@
 /// Descriptors kept for servers, by server listed at the start, and at the least.
 pub const SERVER_DESCRIPTORS: usize = LINES;
 pub const SERVERS_AT_LEAST: usize = 16;
+/// So many viewers' connections more than there is room for may be open while none of the others can be
+/// closed.
+pub const VIEWERS_OVER: usize = 4;
 /// Bytes that wait for a peer that does not read. Then its connection is closed.
 pub const BACKLOG: usize = 256 * 1024;
 /// Events that wait for the core, each of at most a piece of bytes read at once. Readers stand still beyond.
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -464,7 +464,38 @@
     assert!(w.exited);
 }
 
-/// No descriptor for a connection: that is not its server's fault, which is neither set aside nor taken for dead.
+/// A session is ended by its viewer while its server cannot be reached: the server is told on the next
+/// connection that is opened to it for whatever reason, and none is opened again and again for this alone.
+#[test]
+fn a_release_for_a_server_out_of_reach_waits_and_opens_no_connections() {
+    let mut w = World::new();
+    let (viewer, server) = w.standing(1);
+    let address = w.servers[&server];
+    w.says(viewer, &release(1, 31));
+    w.open_at_once = false;
+    let at: Vec<ConnId> = w.servers.iter().filter(|(_, a)| **a == address).map(|(c, _)| *c).collect();
+    at.into_iter().for_each(|conn| w.ends(conn, End::Closed));
+    let mut tried = 0;
+    for _ in 0..40 {
+        while let Some(conn) = w.connecting.pop() {
+            tried += 1;
+            w.ends(conn, End::Closed);
+        }
+        w.pass(250.0);
+    }
+    assert!((1..=2).contains(&tried), "{tried} connections");
+    w.out.clear();
+    w.open_at_once = true;
+    for id in 2..12 {
+        w.says(viewer, &wanted(id, ""));
+        w.setup_of(id);
+    }
+    let told = w.find("Session: 0000000000000001").expect("the release");
+    assert!(told.1.starts_with("TEARDOWN") && w.servers[&told.0] == address, "{told:?}");
+}
+
+/// No descriptor for a connection: that is not its server's fault, which is neither set aside nor taken for
+/// dead.
 #[test]
 fn a_connection_that_could_not_be_opened_here_tells_nothing_of_its_server() {
     let mut w = World::new();
