--- a/crates/cli/tests/crossings.rs
+++ b/crates/cli/tests/crossings.rs
@@ -347,8 +347,8 @@
     assert!(again.is_none(), "{again:?}");
 }
 
-/// The same before its SETUP has gone out: it is held back for the unheard bytes of the first connection, and goes out
-/// for the second.
+/// The same before its SETUP has gone out: it is held back for the unheard bytes of the first connection, and
+/// goes out for the second.
 #[test]
 fn who_asks_again_before_the_setup_is_sent_gets_it() {
     let (b, mut server) = Bench::by_hand(128, |t| t);
