Requests in pieces are waited for; the end empties the listener's queue and adds up its account

One cause each, from reading the way of a request through a restart; the tests are in crates/cli/tests/restarts.rs.

- A request in pieces. limits::FIRST_WORD (2 s from the accept, until a message is whole) and WHOLE (2 s) closed a connection whose request came with its body 2 s later; the last bytes met a closed connection.
Now a viewer's message that has begun has 2.5 s from its beginning, and a connection with one is closed last. a_request_that_comes_in_pieces_is_answered (three cuts): fails before.
- The end did not see a part of a request: Node::end_if_due ended with nothing owed at 0.7 s.
It counts what has begun now, to the time at which sessions are left. a_request_of_which_a_part_is_there_is_waited_for: fails before.
- An account at the end (taken, answered, given up, open), and a test from outside that it adds up under load: not there before.
- The end takes in what waits in the listener's queue, places or not; then viewers' connections are closed towards them and read to their end for 40 ms at most.
- A further SETUP at a server goes by another connection than one given up there, whose late answer was taken for it.

Innocent, with a test that passes before, too: a reload and at once the order to stop; a kill right after an accept and a process whose hand-overs and first request come in the same bytes; whole requests before a cut one; every process of a small fleet after crowds, resets, bad configurations, standing still, and its server's death.

--- a/crates/node/src/core/answers.rs
+++ b/crates/node/src/core/answers.rs
@@ -143,6 +143,7 @@
         let Some(sess) = self.sess.get_mut(&id) else { return };
         let Stage::Asked { from, .. } = sess.stage else { return };
         sess.stage = Stage::Stands { from: Some(from), server, since: now };
+        self.ledger.answered += 1;
         if let Some(s) = self.servers.get_mut(&server) {
             s.standing.insert(id);
         }
--- a/crates/node/src/core/care.rs
+++ b/crates/node/src/core/care.rs
@@ -70,11 +70,12 @@
     fn sweep_viewers(&mut self, now: Ms) {
         let overdue = self.viewers.iter().filter(|(_, v)| {
             let silent = !v.spoke && now - v.since >= limits::FIRST_WORD;
-            let partial = v.partial.is_some_and(|t| now - t >= limits::WHOLE);
+            let overdue = v.partial.map(|t| now - t >= limits::REQUEST_WHOLE);
             // One that never brought a good set-up has had its answers. A viewer's own is left to it to close, as long as
             // there is room: a set-up that crosses the close may be read here by nobody, and its answer is owed.
             let keep = if v.good { Ms::INFINITY } else { limits::FIRST_WORD };
-            v.open.is_empty() && (silent || partial || now - v.used >= keep)
+            // One that has begun to ask is heard to the end of it.
+            v.open.is_empty() && overdue.unwrap_or(silent || now - v.used >= keep)
         });
         let overdue: Vec<ConnId> = overdue.map(|(conn, _)| *conn).collect();
         overdue.into_iter().for_each(|conn| self.dos.push(Do::Retire { conn }));
@@ -84,7 +85,7 @@
     }
 
     fn sweep_servers(&mut self, now: Ms) {
-        let partial = |t: Option<Ms>| t.is_some_and(|t| now - t >= limits::WHOLE);
+        let partial = |t: Option<Ms>| t.is_some_and(|t| now - t >= limits::ANSWER_WHOLE);
         let overdue = self.lines.iter().filter(|(_, l)| l.up && partial(l.partial));
         let overdue: Vec<ConnId> = overdue.map(|(conn, _)| *conn).collect();
         overdue.into_iter().for_each(|conn| self.close_line(conn, now));
@@ -137,8 +138,11 @@
     fn end_if_due(&mut self, now: Ms) {
         let Some(told) = self.stopping else { return };
         let asked = self.sess.values().any(|s| matches!(s.stage, Stage::Asked { .. }));
+        // A request of which a part is there is about to be taken.
+        let begun = self.viewers.values().any(|v| v.partial.is_some());
         let last = limits::LAST_SESSIONS + self.told.longest_wait.min(limits::LONGEST_STOP);
-        let done = self.sess.is_empty() && self.owed.is_empty() && now - told >= limits::LAST_REQUESTS;
+        let empty = self.sess.is_empty() && self.owed.is_empty() && !begun;
+        let done = empty && now - told >= limits::LAST_REQUESTS;
         if !asked && (done || now - told >= last) {
             // Close to the kill, what would be waited for is lost either way.
             self.dos.push(Do::Exit { at_once: now - told >= last + limits::LINGER });
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -55,6 +55,15 @@
     until: Ms,
 }
 
+/// What became of the requests that this process has taken.
+#[derive(Default)]
+struct Ledger {
+    taken: u64,
+    answered: u64,
+    /// By their viewers, who closed or cancelled.
+    given_up: u64,
+}
+
 /// A release that found no viewer's connection.
 struct Owed {
     id: u64,
@@ -99,6 +108,7 @@
     next_server: u32,
     next_conn: u64,
     stopping: Option<Ms>,
+    ledger: Ledger,
     actions: Vec<Action>,
     dos: Vec<Do>,
     again_at: Ms,
@@ -138,6 +148,7 @@
             next_server: 0,
             next_conn: 0,
             stopping: None,
+            ledger: Ledger::default(),
             actions: Vec::new(),
             dos: Vec::new(),
             again_at: now,
@@ -159,6 +170,13 @@
         std::mem::take(&mut self.dos)
     }
 
+    /// What became of the requests taken so far: those answered, given up and open add up to them.
+    pub fn account(&self) -> String {
+        let Ledger { taken, answered, given_up } = self.ledger;
+        let open = self.sess.values().filter(|s| matches!(s.stage, Stage::Asked { .. })).count();
+        format!("taken={taken} answered={answered} given_up={given_up} open={open}")
+    }
+
     /// How many viewers' connections are held at most.
     pub fn most_viewers(&self) -> usize {
         self.most_viewers
@@ -209,6 +227,7 @@
     /// The final answer of a session that does not play.
     fn answer(&mut self, id: SessId, bytes: Vec<u8>) {
         if let Some(Session { stage: Stage::Asked { from, .. }, .. }) = self.sess.remove(&id) {
+            self.ledger.answered += 1;
             if let Some(v) = self.viewers.get_mut(&from) {
                 v.open.remove(&id);
                 self.dos.push(Do::Write { conn: from, bytes });
--- a/crates/node/src/core/servers.rs
+++ b/crates/node/src/core/servers.rs
@@ -286,9 +286,12 @@
         };
         // One with nothing out on it, else a new one, else the one with least.
         let load = |c: &ConnId| self.lines.get(c).map_or((true, usize::MAX), |l| (!l.up, l.out.len()));
-        let best = s.lines.iter().copied().min_by_key(load);
+        // Not one on which an earlier SETUP of this session was given up: the answer to that one may still come, and
+        // would be taken for this one's.
+        let other = |c: &ConnId| self.lines.get(c).is_none_or(|l| !l.given_up.contains(&id));
+        let best = s.lines.iter().copied().filter(other).min_by_key(load);
         let free = best.filter(|c| load(c).1 == 0);
-        let room = s.lines.is_empty() || s.lines.len() < limits::LINES && self.lines.len() < self.most_lines;
+        let room = best.is_none() || s.lines.len() < limits::LINES && self.lines.len() < self.most_lines;
         let Some(conn) = free.or_else(|| if room { self.connect(server, now) } else { best }) else {
             // No room here: that is not the server's fault.
             return self.setup_ended(id, Ending::NeverSent, now);
--- a/crates/node/src/core/viewers.rs
+++ b/crates/node/src/core/viewers.rs
@@ -30,7 +30,7 @@
 
 impl Node {
     /// A viewer's connection was taken in. At the most that are held, the one that can best be done without is
-    /// closed: one that never brought a set-up, then one idle for longest.
+    /// closed: one that never brought a set-up, then one idle for longest; one that has begun to ask comes last.
     pub fn accepted(&mut self, conn: ConnId, now: Ms) {
         let full = self.viewers.len() >= self.most_viewers && !self.retire_one(now);
         if full && self.viewers.len() >= self.most_viewers + limits::VIEWERS_OVER {
@@ -53,7 +53,8 @@
     /// Closes the connection that can best be done without, if there is one.
     pub(super) fn retire_one(&mut self, now: Ms) -> bool {
         let idle = self.viewers.iter().filter(|(_, v)| v.open.is_empty() && now - v.stays >= limits::SWEEP);
-        let victim = idle.min_by(|(_, a), (_, b)| a.good.cmp(&b.good).then(a.used.total_cmp(&b.used)));
+        let rank = |v: &Viewer| (v.partial.is_some(), v.good);
+        let victim = idle.min_by(|(_, a), (_, b)| rank(a).cmp(&rank(b)).then(a.used.total_cmp(&b.used)));
         let victim = victim.map(|(conn, _)| *conn);
         victim.into_iter().for_each(|conn| self.dos.push(Do::Retire { conn }));
         victim.is_some()
@@ -135,8 +136,10 @@
     fn said(&mut self, conn: ConnId, said: FromViewer, at: Ms, now: Ms) {
         match said {
             FromViewer::Setup(wanted) => {
-                let id = wanted.id;
+                let (id, asks) = (wanted.id, wanted.dest.at.is_none());
                 if let Err((why, status)) = self.wanted(conn, wanted, at, now) {
+                    self.ledger.taken += u64::from(asks);
+                    self.ledger.answered += u64::from(asks);
                     // Told without its id where that is another request's, which this is no answer to.
                     let id = (!self.sess.contains_key(&SessId(id))).then_some(id);
                     self.refuse(conn, &Fault { id, cseq: Some(1), why: why.into() }, status);
@@ -193,6 +196,7 @@
         v.open.insert(id);
         v.good = true;
         self.last_good = Some(conn);
+        self.ledger.taken += 1;
         let stage = Stage::Asked { from: conn, wanted: Box::new(w), out: None };
         self.sess.insert(id, Session { stage, setups: 0, until: now });
         self.desk.asked(id, request, now, &mut self.actions);
@@ -288,6 +292,7 @@
     /// No answer is owed any more: its SETUP, if one is out, is given up.
     pub(super) fn left(&mut self, id: SessId, now: Ms) {
         let Some(Session { stage: Stage::Asked { out, .. }, .. }) = self.sess.remove(&id) else { return };
+        self.ledger.given_up += 1;
         self.desk.left(id);
         if let Some(out) = out {
             self.give_up(id, out);
--- a/crates/node/src/edge/hub.rs
+++ b/crates/node/src/edge/hub.rs
@@ -169,7 +169,7 @@
             for _ in 0..self.unread.len() {
                 self.turn();
             }
-            self.accept();
+            self.accept(self.most_viewers);
             self.hear_datagrams();
             self.node.attend(self.clock.now());
             self.perform();
@@ -253,12 +253,12 @@
         Some(socket)
     }
 
-    /// Takes in viewers' connections that wait; whether there was one.
-    fn accept(&mut self) -> bool {
+    /// Takes in viewers' connections that wait, so many that there are `most`; whether there was one.
+    fn accept(&mut self, most: usize) -> bool {
         let mut any = false;
         for _ in 0..TURN {
             let now = self.clock.now();
-            if !self.coming || now < self.coming_from || self.viewers >= self.most_viewers {
+            if !self.coming || now < self.coming_from || self.viewers >= most {
                 break;
             }
             match self.listener.accept() {
@@ -399,6 +399,7 @@
         tracing::trace!(target: "walnutline::bytes", conn = conn.0, "out {}", bytes.escape_ascii());
         let behind = socket.is_behind();
         if !socket.write(bytes) {
+            tracing::debug!(target: "walnutline::mode", "connection {} broke or is not read: shut", conn.0);
             // What it still holds is read before its end.
             self.queue(conn);
         } else if !behind && socket.is_behind() {
@@ -424,16 +425,46 @@
     fn exit_if_settled(&mut self) {
         let Some(at_once) = self.exit.take() else { return };
         if !at_once {
-            // The poll may not have told of it yet. What is taken in now is heard before the core is asked again.
+            // The poll may not have told of it yet, and those that found no place have waited for one. What is taken in
+            // now is heard before the core is asked again.
             self.coming = true;
-            let came = self.accept();
+            let came = self.accept(usize::MAX);
             let heard = |s: &Socket| s.peer() != Peer::Unheard;
             let settled = self.held.is_empty() && self.behind.is_empty() && self.unread.is_empty();
             if came || !settled || !self.open.values().all(heard) {
                 return;
             }
         }
-        tracing::info!(target: "walnutline::mode", "stopped");
+        self.end(at_once);
+    }
+
+    /// Ends the process. Viewers' connections are closed towards them and read to their end first, as long as the kill
+    /// leaves time for it: closing one with something unread would be a reset, which may destroy what is on its way.
+    fn end(&mut self, at_once: bool) -> ! {
+        let _ = socket2::SockRef::from(&self.listener).shutdown(Shutdown::Both);
+        let mut last: Vec<Socket> =
+            self.open.drain().map(|(_, s)| s).filter(|s| s.side == Side::Viewer).collect();
+        last.iter().for_each(|s| s.shut(Shutdown::Write));
+        let until = self.clock.now() + if at_once { 0.0 } else { limits::LAST_BYTES };
+        let mut events = Events::with_capacity(EVENTS);
+        let mut buffer = [0; limits::PIECE];
+        loop {
+            last.retain_mut(|s| {
+                // One that sends without end is left to its reset.
+                let ended = (0..TURN).find_map(|_| match s.read(&mut buffer) {
+                    Heard::Bytes(_) => None,
+                    Heard::Nothing => Some(false),
+                    Heard::End(_) => Some(true),
+                });
+                ended != Some(true)
+            });
+            let left = until - self.clock.now();
+            if last.is_empty() || left <= 0.0 {
+                break;
+            }
+            let _ = self.poll.poll(&mut events, Some(Duration::from_secs_f64(left / 1_000.0)));
+        }
+        tracing::info!(target: "walnutline::mode", "stopped {}", self.node.account());
         std::process::exit(0);
     }
 }
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -3,8 +3,11 @@
 
 /// A viewer's connection says something whole within this time. Peers are owed an error or a close within 3 s.
 pub const FIRST_WORD: Ms = 2_000.0;
-/// A message that has begun is whole within this time. Long for any network, short of those 3 s.
-pub const WHOLE: Ms = 2_000.0;
+/// A viewer's message that has begun is whole within this time: a body may come 2 s after its head, and those 3 s
+/// hold for bad ones.
+pub const REQUEST_WHOLE: Ms = 2_500.0;
+/// Likewise a server's. Long for any network.
+pub const ANSWER_WHOLE: Ms = 2_000.0;
 /// Set-ups open on one viewer's connection. More is a flood: each of them would be placed, and cost a server work.
 pub const OPEN_SETUPS: usize = 128;
 /// Longest wait taken from a viewer, by the longest of any class. More is no wait that anyone means.
@@ -64,6 +67,9 @@
 /// How long the end waits at most for what came in and is unheard, or was written and has not gone out: the
 /// kill comes 100 ms later.
 pub const LINGER: Ms = 150.0;
+/// How long the ending process reads on from viewers that it has closed its side to, at most. With all before, the
+/// kill comes 60 ms later.
+pub const LAST_BYTES: Ms = 40.0;
 /// How long a SETUP is held back at most while something of its viewer is unheard: one that sends without end
 /// counts as there.
 pub const UNHEARD: Ms = 50.0;
