--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -131,6 +131,22 @@
     assert_eq!(w.find("cause="), None);
 }
 
+/// A further SETUP at the only server that may be asked goes by another connection: what still comes for the first
+/// one is not taken for its answer.
+#[test]
+fn a_late_answer_to_an_earlier_set_up_is_not_the_further_ones() {
+    let mut w = World::new();
+    let viewer = w.viewer();
+    w.says(viewer, &wanted(1, "").replace("copies:2", "copies:1"));
+    let (first, _) = w.setup_of(1);
+    w.says(first, &reply(500, 1, ""));
+    let (second, _) = w.setup_of(1);
+    w.says(first, &reply(200, 1, "late\r\n"));
+    assert_eq!(w.find("late"), None);
+    w.says(second, &reply(200, 1, "own\r\n"));
+    assert_eq!(w.find("own").unwrap().0, viewer);
+}
+
 #[test_case("RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 0000000000000001\r\nContent-Length: 2\r\n\r\nb=2\r\n" ; "length too short")]
 #[test_case("\u{7f}\u{3}noise\r\n\r\n" ; "noise")]
 #[test_case("RTSP/1.0 200 OK\r\nCSeq: 1\r\nContent-Length: 3000000000\r\n\r\nb=2" ; "claims 3 GB")]
--- /dev/null
+++ b/crates/node/tests/lists.rs
@@ -0,0 +1,59 @@
+//! A core that is told of hundreds of nodes and servers.
+#[path = "../../platform/tests/support/dns.rs"]
+mod dns;
+#[allow(dead_code)]
+mod support;
+
+use support::{reply, wanted, World, NODE};
+use walnutline_platform::peers::{self, Entry};
+
+const NODES: usize = 350;
+const SERVERS: usize = 400;
+const LAST: &str = "s-0000018f";
+
+fn node_address(n: usize) -> String {
+    format!("10.3.{}.{}:7946", n / 250, n % 250 + 1)
+}
+
+fn told() -> String {
+    let peers: Vec<String> = (0..NODES).map(|n| format!("\"{}\"", node_address(n))).collect();
+    NODE.replace("\"names\"", &format!("\"peer_listen\":\"{}\",\"names\"", node_address(0)))
+        .replace("\"known\"", &format!("\"peers\":[{}],\"known\"", peers.join(",")))
+        .replace("\"known\"", "\"peers_all\":\"10.3.255.1:7946\",\"known\"")
+        .replace("\"probes\":true", "\"peer_messages\":true,\"probes\":true")
+}
+
+/// The list is told in one answer, and each server on it is placed at; news of the last of the other nodes is
+/// heard, and of a stranger none.
+#[test]
+fn lists_of_350_nodes_and_400_servers_are_taken() {
+    let mut w = World::with(&told());
+    assert_eq!(w.node.desk.front.terms.fronts as usize, NODES);
+    w.pass(500.0);
+    let (names, question) = w.queries.last().unwrap().clone();
+    let ids: Vec<String> = (0..SERVERS).map(|n| format!("s-{n:08x}.depot-a.hosts")).collect();
+    let line = |n: usize| (ids[n].as_str(), [10, 1, (n / 250) as u8, (n % 250) as u8 + 1], 5_060);
+    let lines: Vec<_> = (0..SERVERS).map(line).collect();
+    let answer = dns::list(&question, 9, &lines, "started=0");
+    assert!(answer.len() > 8_000, "{} bytes", answer.len());
+    w.node.datagram(names, &answer, w.now);
+    w.run();
+    let listed = |w: &World| w.node.desk.front.fleet.servers.len();
+    w.pass(1_000.0);
+    assert_eq!(listed(&w), SERVERS, "and those of the start are gone");
+    let viewer = w.viewer();
+    for id in 1..=5 {
+        w.says(viewer, &wanted(id, "").replace("copies:2", "copies:1"));
+        let (server, _) = w.setup_of(id);
+        w.says(server, &reply(200, id, "good\r\n"));
+        assert!(w.find("good").is_some(), "{id}");
+    }
+    let entry = Entry { server: peers::hash(LAST), age: 100.0, streams: 0.5, link: 0.5, since: 1_000.0 };
+    let news = peers::write(&[entry]);
+    let heard = |w: &World| w.node.desk.front.fleet.servers.values().filter(|s| s.link.is_some()).count();
+    let before = heard(&w);
+    w.node.peer("10.9.9.9:7946".parse().unwrap(), &news, w.now);
+    assert_eq!(heard(&w), before, "a stranger");
+    w.node.peer(node_address(NODES - 1).parse().unwrap(), &news, w.now);
+    assert_eq!(heard(&w), before + 1, "the last of the nodes");
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -144,15 +144,20 @@
         Some(self.out.remove(at))
     }
 
+    /// Answers the probes that are out.
+    pub fn answer_probes(&mut self) {
+        while let Some((conn, probe)) = self.find("rtsp://media/load") {
+            let asked = probe.lines().find(|l| l.starts_with("Session")).unwrap();
+            let report = "X-Circuits: inflight:1;x0:0.2\r\nContent-Length: 0\r\n\r\n";
+            self.says(conn, &format!("RTSP/1.0 200 OK\r\nCSeq: 3\r\n{asked}\r\n{report}"));
+        }
+    }
+
     /// Answers probes until a SETUP of this id goes out.
     pub fn setup_of(&mut self, id: u64) -> (ConnId, String) {
         let session = format!("Session: {id:016x}");
         for _ in 0..200 {
-            while let Some((conn, probe)) = self.find("rtsp://media/load") {
-                let asked = probe.lines().find(|l| l.starts_with("Session")).unwrap();
-                let report = "X-Circuits: inflight:1;x0:0.2\r\nContent-Length: 0\r\n\r\n";
-                self.says(conn, &format!("RTSP/1.0 200 OK\r\nCSeq: 3\r\n{asked}\r\n{report}"));
-            }
+            self.answer_probes();
             if let Some(at) =
                 self.out.iter().position(|(_, t)| t.starts_with("SETUP") && t.contains(&session))
             {
