--- a/crates/node/tests/lists.rs
+++ b/crates/node/tests/lists.rs
@@ -5,6 +5,8 @@
 mod support;
 
 use support::{reply, wanted, World, NODE};
+use test_case::test_case;
+use walnutline_node::exchange::End;
 use walnutline_platform::peers::{self, Entry};
 
 const NODES: usize = 350;
@@ -57,3 +59,31 @@
     w.node.peer(node_address(NODES - 1).parse().unwrap(), &news, w.now);
     assert_eq!(heard(&w), before + 1, "the last of the nodes");
 }
+
+/// The list falls silent for long, and then comes whole with everything changed at once, while a SETUP is out at a
+/// server that is on it no more: its answer still counts; where its connection ends, a new server is asked.
+#[test_case(true; "it answers")]
+#[test_case(false; "its connection ends")]
+fn a_set_up_out_at_a_server_that_a_late_list_drops_is_answered(answers: bool) {
+    let mut w = World::new();
+    // Questions go out all the time, and nobody answers.
+    w.pass(12_000.0);
+    let viewer = w.viewer();
+    w.says(viewer, &wanted(1, "").replace("copies:2", "copies:1"));
+    let (first, _) = w.setup_of(1);
+    let (names, question) = w.queries.last().unwrap().clone();
+    let line = ("s-0000000a.depot-a.hosts", [10, 1, 0, 9], 5_060);
+    w.node.datagram(names, &dns::list(&question, 40, &[line], "started=0"), w.now);
+    w.node.attend(w.now);
+    w.run();
+    assert_eq!(w.find("RTSP/1.0"), None, "nothing is over yet");
+    let from = if answers {
+        first
+    } else {
+        w.ends(first, End::Closed);
+        w.setup_of(1).0
+    };
+    w.says(from, &reply(200, 1, "good\r\n"));
+    assert_eq!(w.find("good").unwrap().0, viewer);
+    assert_eq!(w.find("good"), None, "once");
+}
