--- a/crates/cli/tests/sockets.rs
+++ b/crates/cli/tests/sockets.rs
@@ -61,6 +61,21 @@
     assert!(descriptors(&b) <= before, "{} after {before}", descriptors(&b));
 }
 
+/// A viewer ends its session, at its server, in the moment of the answer: the answer goes out all the same, and the log
+/// tells of it.
+#[test]
+fn an_end_that_crosses_the_answer_is_told_in_the_log() {
+    let (b, mut server) = Bench::by_hand(128, |t| t);
+    let mut viewer = Peer::new(b.viewer());
+    viewer.says(&wanted(1));
+    let (mut at, _) = server.hears();
+    at.says(&(reply(200, 1, 1, "b=2\r\n") + &teardown(1, Some(31))));
+    assert!(viewer.hears().starts_with("RTSP/1.0 200"));
+    let told = std::iter::repeat_with(|| b.said.recv_timeout(WAIT).unwrap())
+        .find(|l| l.contains("ended by its viewer"));
+    assert!(told.unwrap().contains("session 0000000000000001"));
+}
+
 /// One viewer sends without end, and reads what it is told: another one is heard at once all the same.
 #[test]
 fn who_sends_without_end_holds_up_nobody() {
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -70,6 +70,8 @@
 /// How long the ending process reads on from viewers that it has closed its side to, at most. With all before, the
 /// kill comes 60 ms later.
 pub const LAST_BYTES: Ms = 40.0;
+/// A viewer that ends its session so soon after the answer may not have heard it: that is told in the log.
+pub const JUST_ANSWERED: Ms = 5.0;
 /// How long a SETUP is held back at most while something of its viewer is unheard: one that sends without end
 /// counts as there.
 pub const UNHEARD: Ms = 50.0;
