node: a stopping node logs each event of each request, and counts refusals and SETUPs

Change: typed request events with ids and servers' names, at info from SIGTERM on, at debug otherwise; `stopping` tells pending requests and when the node ends; `stopped` counts refused, failed and SETUPs.

Measured: tests of crates/node and of the binary's node and restarts pass; no decision changed.

--- a/crates/node/src/actions.rs
+++ b/crates/node/src/actions.rs
@@ -1,4 +1,5 @@
 //! What the core asks the edge to do, and the types by which both refer to connections.
+use crate::request_log::RequestLine;
 use std::net::SocketAddr;
 use walnutline::ids::SessionId;
 
@@ -31,6 +32,8 @@
     SendPeerReports { to: SocketAddr, bytes: Vec<u8> },
     /// Write a line to the log.
     Log(String),
+    /// Write a line about a request to the log; `stopping`: the node has been asked to stop.
+    LogRequest { line: RequestLine, stopping: bool },
     /// End the process once all input has been handled and all output is sent, or without waiting for either
     /// with `at_once`.
     Exit { at_once: bool },
--- a/crates/node/src/core/maintenance.rs
+++ b/crates/node/src/core/maintenance.rs
@@ -3,8 +3,9 @@
 use super::{Node, Stage, TimerEvent};
 use crate::actions::{ConnectionId, IoAction};
 use crate::limits;
+use crate::request_log::RequestEvent;
 use walnutline::fleet::ServerState;
-use walnutline::ids::Ms;
+use walnutline::ids::{Ms, SessionId};
 
 impl Node {
     /// The latest time at which [`Node::process_due`] is to be called next.
@@ -153,19 +154,39 @@
         if self.stop_requested_at.is_none() {
             self.stop_requested_at = Some(requested_at);
             self.timers.schedule(requested_at + limits::SHUTDOWN_REQUEST_PERIOD, TimerEvent::ShutdownCheck);
-            self.io_actions.push(IoAction::Log(format!("stopping sessions={}", self.sessions.len())));
+            self.log_stop(requested_at);
         }
     }
 
+    /// Logs what is left to do for a node that has been asked to stop.
+    fn log_stop(&mut self, now: Ms) {
+        let (sessions, pending) = (self.sessions.len(), self.pending_count());
+        let viewers = self.viewers.len();
+        self.io_actions.push(IoAction::Log(format!(
+            "stopping sessions={sessions} pending={pending} viewers={viewers} end_within_ms={:.0}",
+            self.longest_shutdown()
+        )));
+        let pending = self.sessions.iter().filter(|(_, s)| matches!(s.stage, Stage::Pending { .. }));
+        let pending: Vec<(SessionId, Ms, u32)> =
+            pending.map(|(id, s)| (*id, now - s.taken_at, s.setup_count)).collect();
+        for (id, age, setups) in pending {
+            self.log_request(id, |_| RequestEvent::PendingAtStop { age, setups });
+        }
+    }
+
+    /// Time from the request to stop for which playing sessions are kept.
+    fn longest_shutdown(&self) -> Ms {
+        limits::SHUTDOWN_SESSION_GRACE + self.configuration.max_viewer_wait_ms.min(limits::MAX_SHUTDOWN_WAIT)
+    }
+
     /// Ends the process once no request is pending and either no session is left or the time for them is
     /// over.
     fn exit_if_done(&mut self, now: Ms) {
         let Some(requested_at) = self.stop_requested_at else { return };
-        let any_pending = self.sessions.values().any(|s| matches!(s.stage, Stage::Pending { .. }));
+        let any_pending = self.pending_count() > 0;
         // A request that has begun to arrive is about to be taken.
         let any_partial = self.viewers.values().any(|v| v.partial_since.is_some());
-        let session_time = limits::SHUTDOWN_SESSION_GRACE
-            + self.configuration.max_viewer_wait_ms.min(limits::MAX_SHUTDOWN_WAIT);
+        let session_time = self.longest_shutdown();
         let empty = self.sessions.is_empty() && self.pending_releases.is_empty() && !any_partial;
         let done = empty && now - requested_at >= limits::SHUTDOWN_REQUEST_PERIOD;
         if !any_pending && (done || now - requested_at >= session_time) {
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -20,6 +20,7 @@
 
 use crate::actions::{ConnectionId, IoAction};
 use crate::limits;
+use crate::request_log::{RequestCounts, RequestEvent, RequestLine};
 use server_connections::{Server, ServerConnection};
 use server_list::NameService;
 use std::collections::{BTreeMap, VecDeque};
@@ -55,21 +56,14 @@
 /// A pending request or a playing session.
 struct Session {
     stage: Stage,
+    /// When its request was read, or its hand-over.
+    taken_at: Ms,
     /// SETUPs started so far. The last one has this number as its attempt.
     setup_count: u32,
     /// When the pending SETUP times out.
     setup_deadline: Ms,
 }
 
-/// Counts of the requests that this process has taken.
-#[derive(Default)]
-struct RequestCounts {
-    taken: u64,
-    answered: u64,
-    /// Cancelled by their viewers, or closed with their connections.
-    given_up: u64,
-}
-
 /// A release that waits for a viewer's connection, or for the viewer's confirmation.
 struct PendingRelease {
     id: u64,
@@ -118,6 +112,8 @@
     last_connection_id: u64,
     stop_requested_at: Option<Ms>,
     request_counts: RequestCounts,
+    /// Whether events of requests are logged while the node is not stopping.
+    logs_requests: bool,
     engine_actions: Vec<Action>,
     io_actions: Vec<IoAction>,
     engine_next_call_at: Ms,
@@ -165,6 +161,7 @@
             last_connection_id: 0,
             stop_requested_at: None,
             request_counts: RequestCounts::default(),
+            logs_requests: false,
             engine_actions: Vec::new(),
             io_actions: Vec::new(),
             engine_next_call_at: now,
@@ -189,9 +186,32 @@
 
     /// Returns the counts of requests for the log: those answered, given up and open add up to those taken.
     pub fn request_counts(&self) -> String {
-        let RequestCounts { taken, answered, given_up } = self.request_counts;
-        let open = self.sessions.values().filter(|s| matches!(s.stage, Stage::Pending { .. })).count();
-        format!("taken={taken} answered={answered} given_up={given_up} open={open}")
+        self.request_counts.to_log_fields(self.pending_count())
+    }
+
+    /// Number of requests that are not answered yet.
+    fn pending_count(&self) -> usize {
+        self.sessions.values().filter(|s| matches!(s.stage, Stage::Pending { .. })).count()
+    }
+
+    /// Requests a log line for each event of each request. Without it, only those of a stopping node are
+    /// logged.
+    pub fn log_requests(&mut self) {
+        self.logs_requests = true;
+    }
+
+    /// Logs an event of a request, if such events are logged now.
+    fn log_request(&mut self, id: SessionId, event: impl FnOnce(&Node) -> RequestEvent) {
+        let stopping = self.stop_requested_at.is_some();
+        if stopping || self.logs_requests {
+            let line = RequestLine { id, event: event(self) };
+            self.io_actions.push(IoAction::LogRequest { line, stopping });
+        }
+    }
+
+    /// Name of a server for the log.
+    fn server_name(&self, server: ServerId) -> String {
+        self.servers.get(&server).map_or_else(String::new, |s| s.name.clone())
     }
 
     /// The largest number of viewers' connections held at once.
@@ -232,9 +252,15 @@
                 Action::Probe { server } => self.probe(server, now),
                 Action::RequestList => self.request_list(),
                 Action::BusyReply { id, retry_after } => {
-                    self.send_final_answer(id, viewer::busy_response(id.0, retry_after))
+                    self.request_counts.refused += 1;
+                    let bytes = viewer::busy_response(id.0, retry_after);
+                    self.send_final_answer(id, viewer::BUSY_STATUS, bytes, now);
+                }
+                Action::TornDown { id } => {
+                    self.request_counts.failed += 1;
+                    let bytes = viewer::setup_failed_response(id.0);
+                    self.send_final_answer(id, viewer::FAILED_STATUS, bytes, now);
                 }
-                Action::TornDown { id } => self.send_final_answer(id, viewer::setup_failed_response(id.0)),
                 Action::SendPeerReports(reports) => self.send_peer_reports(&reports, now),
                 Action::Log(line) => self.io_actions.push(IoAction::Log(line)),
                 Action::CallAt(at) => self.engine_next_call_at = at,
@@ -244,20 +270,28 @@
     }
 
     /// Answers a request that could not be placed on a server, and forgets its session.
-    fn send_final_answer(&mut self, id: SessionId, bytes: Vec<u8>) {
-        if let Some(Session { stage: Stage::Pending { viewer_conn, .. }, .. }) = self.sessions.remove(&id) {
-            self.request_counts.answered += 1;
-            if let Some(viewer) = self.viewers.get_mut(&viewer_conn) {
-                viewer.open_setups.remove(&id);
-                self.io_actions.push(IoAction::Write { conn: viewer_conn, bytes });
-            }
+    fn send_final_answer(&mut self, id: SessionId, status: u16, bytes: Vec<u8>, now: Ms) {
+        let Some(session) = self.sessions.remove(&id) else { return };
+        let Stage::Pending { viewer_conn, .. } = session.stage else { return };
+        self.request_counts.answered += 1;
+        if let Some(viewer) = self.viewers.get_mut(&viewer_conn) {
+            viewer.open_setups.remove(&id);
+            self.io_actions.push(IoAction::Write { conn: viewer_conn, bytes });
         }
+        let (age, setups) = (now - session.taken_at, session.setup_count);
+        self.log_request(id, |_| RequestEvent::Answered { status, age, setups });
     }
 
     /// Passes the outcome of a session's SETUP to the decision engine, which decides what comes next.
     fn setup_ended(&mut self, id: SessionId, outcome: SetupOutcome, now: Ms) {
         if let Some(Session { stage: Stage::Pending { setup, .. }, .. }) = self.sessions.get_mut(&id) {
-            *setup = None;
+            if let Some(PendingSetup { server, attempt, sent, .. }) = setup.take() {
+                self.request_counts.setups_failed += 1;
+                self.log_request(id, |node| {
+                    let server = node.server_name(server);
+                    RequestEvent::SetupEnded { attempt, server, outcome, sent }
+                });
+            }
             self.engine.after_outcome(id, outcome, false, now, &mut self.engine_actions);
         }
     }
--- a/crates/node/src/core/server_connections.rs
+++ b/crates/node/src/core/server_connections.rs
@@ -2,6 +2,7 @@
 use super::{Node, PendingSetup, Stage, TimerEvent};
 use crate::actions::{ConnectionEnd, ConnectionId, IoAction};
 use crate::limits;
+use crate::request_log::RequestEvent;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use walnutline::api::SetupOutcome;
@@ -356,6 +357,11 @@
             *setup = Some(PendingSetup { server: server_id, conn, attempt, sent: false });
         }
         self.timers.schedule(now + timeout, TimerEvent::SetupTimeout { id, attempt });
+        self.request_counts.setups += 1;
+        self.log_request(id, |node| {
+            let up = node.server_connections.get(&conn).is_some_and(|c| c.up);
+            RequestEvent::SetupStarted { attempt, server: node.server_name(server_id), conn, up, timeout }
+        });
         if let Some(connection) = self.server_connections.get_mut(&conn) {
             connection.pending_setups.insert(id);
             if connection.up {
--- a/crates/node/src/core/server_messages.rs
+++ b/crates/node/src/core/server_messages.rs
@@ -3,6 +3,7 @@
 use super::{Node, Session, Stage};
 use crate::actions::{ConnectionId, IoAction};
 use crate::limits;
+use crate::request_log::RequestEvent;
 use walnutline::api::SetupOutcome;
 use walnutline::ids::{Ms, ServerId, SessionId};
 use walnutline_platform::headers;
@@ -161,6 +162,7 @@
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let Stage::Pending { viewer_conn, .. } = session.stage else { return };
         session.stage = Stage::Playing { viewer_conn: Some(viewer_conn), server: server_id, since: now };
+        let (age, setups) = (now - session.taken_at, session.setup_count);
         self.request_counts.answered += 1;
         if let Some(s) = self.servers.get_mut(&server_id) {
             s.sessions.insert(id);
@@ -172,6 +174,7 @@
         self.io_actions
             .push(IoAction::Write { conn: viewer_conn, bytes: viewer::setup_response(id.0, description) });
         self.engine.session_started(id, now);
+        self.log_request(id, |_| RequestEvent::Answered { status, age, setups });
     }
 
     /// Handles a server's report that a session has ended or that a set-up failed. It may come more than
--- a/crates/node/src/core/viewer_connections.rs
+++ b/crates/node/src/core/viewer_connections.rs
@@ -3,6 +3,7 @@
 use super::{Node, PendingRelease, Session, Stage};
 use crate::actions::{ConnectionId, IoAction};
 use crate::limits;
+use crate::request_log::RequestEvent;
 use std::collections::{BTreeSet, VecDeque};
 use walnutline::api::{Holders, Request, SetupOutcome};
 use walnutline::ids::{CellId, GroupIndex, Ms, SessionId, TitleId};
@@ -235,7 +236,10 @@
         self.last_setup_conn = Some(conn);
         self.request_counts.taken += 1;
         let stage = Stage::Pending { viewer_conn: conn, request: Box::new(setup_request), setup: None };
-        self.sessions.insert(id, Session { stage, setup_count: 0, setup_deadline: now });
+        let session = Session { stage, taken_at: received_at, setup_count: 0, setup_deadline: now };
+        self.sessions.insert(id, session);
+        let time_left = request.time_left;
+        self.log_request(id, |_| RequestEvent::Taken { conn, time_left });
         self.engine.add_request(id, request, now, &mut self.engine_actions);
         self.write_pending_releases(conn);
         Ok(())
@@ -306,7 +310,7 @@
         }
         server.sessions.insert(id);
         let stage = Stage::Playing { viewer_conn: Some(conn), server: server_id, since: now };
-        self.sessions.insert(id, Session { stage, setup_count: 0, setup_deadline: now });
+        self.sessions.insert(id, Session { stage, taken_at: now, setup_count: 0, setup_deadline: now });
         self.engine.add_running_session(id, request, server_id, now);
         if let Some(rung) = self.early_rungs.remove(&id) {
             self.engine.set_rung(id, rung);
@@ -339,10 +343,11 @@
 
     /// Cancels a request that needs no answer any more, with its pending SETUP.
     pub(super) fn cancel_request(&mut self, id: SessionId, now: Ms) {
-        let Some(Session { stage: Stage::Pending { setup, .. }, .. }) = self.sessions.remove(&id) else {
-            return;
-        };
+        let Some(session) = self.sessions.remove(&id) else { return };
+        let Stage::Pending { setup, .. } = session.stage else { return };
         self.request_counts.given_up += 1;
+        let (age, setups) = (now - session.taken_at, session.setup_count);
+        self.log_request(id, |_| RequestEvent::Cancelled { age, setups });
         self.engine.viewer_left(id);
         if let Some(setup) = setup {
             self.cancel_setup(id, setup);
--- a/crates/node/src/edge/hub.rs
+++ b/crates/node/src/edge/hub.rs
@@ -22,6 +22,8 @@
 /// Connections accepted, and datagrams received on one socket, before other work is done, so that none is
 /// starved.
 const MAX_BATCH: usize = 64;
+/// Target of the log lines about single requests.
+const REQUEST_LOG_TARGET: &str = "walnutline::requests";
 /// Most events returned by one poll.
 const EVENT_CAPACITY: usize = 256;
 
@@ -111,7 +113,7 @@
     /// Registers the listener and the datagram sockets with `poll`. Without `peers`, nothing is exchanged
     /// with other nodes.
     pub fn new(
-        node: Node,
+        mut node: Node,
         clock: Clock,
         poll: Poll,
         mut listener: TcpListener,
@@ -126,6 +128,9 @@
         let peers = peers
             .map(|p| DatagramSocket::new(&poll, p, PEERS_TOKEN, peers::MAX_DATAGRAM_BYTES + 1))
             .transpose()?;
+        if tracing::enabled!(target: REQUEST_LOG_TARGET, tracing::Level::DEBUG) {
+            node.log_requests();
+        }
         Ok(Hub {
             max_viewers: node.max_viewer_connections() + limits::EXTRA_VIEWER_CONNECTIONS,
             node,
@@ -365,6 +370,12 @@
                 }
             }
             IoAction::Log(line) => tracing::info!(target: "walnutline::mode", "{line}"),
+            IoAction::LogRequest { line, stopping: true } => {
+                tracing::info!(target: REQUEST_LOG_TARGET, "{line}")
+            }
+            IoAction::LogRequest { line, stopping: false } => {
+                tracing::debug!(target: REQUEST_LOG_TARGET, "{line}")
+            }
             IoAction::Exit { at_once } => self.requested_exit = Some(at_once),
         }
     }
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -526,6 +526,26 @@
     assert!(harness.exited);
 }
 
+#[test]
+fn stopping_node_logs_the_events_of_each_request() {
+    let mut harness = Harness::new();
+    let viewer = harness.accept_viewer();
+    harness.receive(viewer, &setup_request(1, ""));
+    let (server, _) = harness.await_setup(1);
+    assert!(harness.request_lines.is_empty(), "{:?}", harness.request_lines);
+    harness.node.stop(harness.now);
+    harness.receive(server, &setup_response(500, 1, ""));
+    let (server, _) = harness.await_setup(1);
+    harness.receive(server, &setup_response(200, 1, "good\r\n"));
+    for text in ["pending at stop", "setup 1 ended", "setup 2 starts server=s-0000", "answered status=200"] {
+        assert!(
+            harness.request_lines.iter().any(|l| l.contains(text)),
+            "{text}: {:?}",
+            harness.request_lines
+        );
+    }
+}
+
 /// Guards against an exit that waits for the next sweep: the kill follows 250 ms after the exit is due, and
 /// draining takes part of that time.
 #[test]
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -22,6 +22,8 @@
     pub written: Vec<(ConnectionId, String)>,
     pub closed: Vec<ConnectionId>,
     pub list_queries: Vec<(SocketAddr, Vec<u8>)>,
+    /// Log lines about requests, oldest first.
+    pub request_lines: Vec<String>,
     pub exited: bool,
     /// Viewers' connections that their peer has closed without the core's knowledge.
     pub closed_viewers: Vec<ConnectionId>,
@@ -50,6 +52,7 @@
             written: Vec::new(),
             closed: Vec::new(),
             list_queries: Vec::new(),
+            request_lines: Vec::new(),
             exited: false,
             closed_viewers: Vec::new(),
             unread_viewers: Vec::new(),
@@ -114,6 +117,7 @@
                         self.closed.push(conn);
                     }
                     IoAction::SendListQuery { to, bytes } => self.list_queries.push((to, bytes)),
+                    IoAction::LogRequest { line, .. } => self.request_lines.push(line.to_string()),
                     IoAction::SendPeerReports { .. } | IoAction::Log(_) => {}
                     IoAction::Exit { .. } => self.exited = true,
                 }
--- a/crates/platform/src/viewer.rs
+++ b/crates/platform/src/viewer.rs
@@ -107,16 +107,21 @@
     rtsp::encode_response(200, Some(1), Some(id), &[], description)
 }
 
+/// Status of a refusal after which trying again is harmless.
+pub const BUSY_STATUS: u16 = 503;
+/// Status of the answer to a request whose set-up failed and may have taken effect.
+pub const FAILED_STATUS: u16 = 500;
+
 /// Encodes the refusal of a SETUP that the viewer may safely retry, after `retry_after_ms` if given.
 pub fn busy_response(id: u64, retry_after_ms: Option<f64>) -> Vec<u8> {
     let hold_off =
         retry_after_ms.map(|t| (headers::HEADER_HOLD_OFF, format!("{}", t.round().max(0.0) as u64)));
-    rtsp::encode_response(503, Some(1), Some(id), hold_off.as_slice(), &[])
+    rtsp::encode_response(BUSY_STATUS, Some(1), Some(id), hold_off.as_slice(), &[])
 }
 
 /// Encodes the response to a SETUP that failed.
 pub fn setup_failed_response(id: u64) -> Vec<u8> {
-    rtsp::encode_response(500, Some(1), Some(id), &[], &[])
+    rtsp::encode_response(FAILED_STATUS, Some(1), Some(id), &[], &[])
 }
 
 /// Encodes the response to a rejected request.
