--- a/crates/cli/tests/support/node.rs
+++ b/crates/cli/tests/support/node.rs
@@ -297,6 +297,15 @@
         message
     }
 
+    /// Whether the peer has closed the connection, and everything that it sent has been read.
+    pub fn is_closed(&mut self) -> bool {
+        self.stream.set_nonblocking(true).unwrap();
+        let peeked = self.stream.peek(&mut [0; 1]);
+        self.stream.set_nonblocking(false).unwrap();
+        !matches!(&peeked, Ok(n) if *n > 0)
+            && !matches!(&peeked, Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+    }
+
     /// Closes the connection with a reset, which discards what has not been sent.
     pub fn reset(self) {
         let socket = socket2::Socket::from(self.stream);
