--- a/crates/cli/tests/shutdown.rs
+++ b/crates/cli/tests/shutdown.rs
@@ -47,8 +47,7 @@
 #[test_case(9_000, 500; "with a deadline beyond the kill")]
 fn request_to_a_hung_server_is_answered_before_a_stopping_node_is_killed(wait_ms: u64, sent_after_ms: u64) {
     let longest_wait = ms(wait_ms.min(3_000));
-    let (node, _server, _session_viewer) = node_with_session(wait_ms);
-    let mut viewer = Connection::new(node.connect_viewer());
+    let (node, _server, mut viewer) = node_with_session(wait_ms);
     node.signal("-TERM");
     let killed_at = Instant::now() + longest_wait + KILL_DELAY;
     std::thread::sleep(ms(sent_after_ms));
--- a/crates/node/src/core/maintenance.rs
+++ b/crates/node/src/core/maintenance.rs
@@ -149,12 +149,28 @@
     }
 
     /// Begins to stop the node, as requested at `requested_at`: it goes on taking and answering requests, and
-    /// ends once no work is left.
+    /// ends once no work is left. Requests are answered before the node ends, and the platform kills it.
     pub fn stop(&mut self, requested_at: Ms) {
-        if self.stop_requested_at.is_none() {
-            self.stop_requested_at = Some(requested_at);
-            self.timers.schedule(requested_at + limits::SHUTDOWN_REQUEST_PERIOD, TimerEvent::ShutdownCheck);
-            self.log_stop(requested_at);
+        if self.stop_requested_at.is_some() {
+            return self.io_actions.push(IoAction::Log("already stopping".into()));
+        }
+        self.stop_requested_at = Some(requested_at);
+        self.timers.schedule(requested_at + limits::SHUTDOWN_REQUEST_PERIOD, TimerEvent::ShutdownCheck);
+        self.log_stop(requested_at);
+        let setups_end_by = self.engine.begin_shutdown(requested_at + self.longest_shutdown());
+        self.end_setups_by(setups_end_by);
+    }
+
+    /// Shortens the time-outs of pending SETUPs that would end later.
+    fn end_setups_by(&mut self, time: Ms) {
+        for (id, session) in &mut self.sessions {
+            if let Stage::Pending { setup: Some(setup), .. } = &session.stage {
+                if session.setup_deadline > time {
+                    session.setup_deadline = time;
+                    let event = TimerEvent::SetupTimeout { id: *id, attempt: setup.attempt };
+                    self.timers.schedule(time, event);
+                }
+            }
         }
     }
 
@@ -174,7 +190,8 @@
         }
     }
 
-    /// Time from the request to stop for which playing sessions are kept.
+    /// Time from the request to stop within which requests are answered, and for which playing sessions are
+    /// kept.
     fn longest_shutdown(&self) -> Ms {
         limits::SHUTDOWN_SESSION_GRACE + self.configuration.max_viewer_wait_ms.min(limits::MAX_SHUTDOWN_WAIT)
     }
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -66,8 +66,9 @@
 /// Time after the request to stop during which new requests may still arrive; after that, the node ends as
 /// soon as no work is left.
 pub const SHUTDOWN_REQUEST_PERIOD: Ms = 700.0;
-/// Time for which playing sessions are kept beyond the longest wait of a viewer, or beyond
-/// [`MAX_SHUTDOWN_WAIT`] if that is shorter. The platform kills the process 250 ms later.
+/// Time beyond the longest wait of a viewer, or beyond [`MAX_SHUTDOWN_WAIT`] if that is shorter, within which a
+/// stopping node answers all requests and for which it keeps playing sessions. The platform kills the process
+/// 250 ms later.
 pub const SHUTDOWN_SESSION_GRACE: Ms = 450.0;
 /// Longest viewer's wait for which the platform delays the kill.
 pub const MAX_SHUTDOWN_WAIT: Ms = 3_000.0;
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -915,7 +915,8 @@
     releases: u32,
     /// Connection on which its SETUP is open.
     setup_on: Option<ConnectionId>,
-    requested_at: f64,
+    /// When its viewer stops waiting, or the node is killed if that is sooner.
+    answer_by: f64,
 }
 
 /// Updates what has been observed with the messages written since the last call, and checks the invariants.
@@ -938,8 +939,7 @@
         } else if !to_server && text.contains("CSeq: 1") {
             session.answers += 1;
             prop_assert!(session.answers == 1, "answered {} times", session.answers);
-            // The wait limit of the request, and 40 ms to spare.
-            prop_assert!(harness.now - session.requested_at <= 1_500.0 + 40.0, "answered late");
+            prop_assert!(harness.now <= session.answer_by, "answered late");
         }
     }
     Ok(())
@@ -948,16 +948,21 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..ProptestConfig::default() })]
 
-    /// Random actions of viewers, servers and time: no request is answered twice or late, none has two SETUPs
-    /// open, no session is released twice, and in the end every request has been answered.
+    /// Random actions of viewers, servers and time, and SIGTERM: no request is answered twice, late or after the
+    /// kill, none has two SETUPs open, no session is released twice, and in the end every request has been
+    /// answered and a stopping node has exited.
     #[test]
     fn random_event_orders_keep_the_invariants(
-        events in prop::collection::vec((0u8..9, any::<prop::sample::Index>()), 1..60)
+        events in prop::collection::vec((0u8..10, any::<prop::sample::Index>()), 1..60)
     ) {
         let mut harness = Harness::new();
         let viewer = harness.accept_viewer();
         let mut observed: BTreeMap<u64, ObservedSession> = BTreeMap::new();
+        let mut killed_at = f64::INFINITY;
         for (event, choice) in events {
+            if harness.exited {
+                break;
+            }
             let open_setups: Vec<(u64, ConnectionId)> =
                 observed.iter().filter_map(|(id, session)| Some((*id, session.setup_on?))).collect();
             let any_open_setup = (!open_setups.is_empty()).then(|| *choice.get(&open_setups));
@@ -965,7 +970,9 @@
             match (event, any_open_setup, any_id) {
                 (0 | 1, ..) => {
                     let id = observed.len() as u64 + 1;
-                    observed.insert(id, ObservedSession { requested_at: harness.now, ..ObservedSession::default() });
+                    // The wait limit of the request, and 40 ms to spare.
+                    let answer_by = killed_at.min(harness.now + 1_500.0 + 40.0);
+                    observed.insert(id, ObservedSession { answer_by, ..ObservedSession::default() });
                     harness.receive(viewer, &setup_request(id, ""));
                 }
                 (2 | 3, Some((id, conn)), _) => {
@@ -994,6 +1001,11 @@
                     let teardown = format!("TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: {id:016x}\r\nContent-Length: 0\r\n\r\n");
                     harness.receive(viewer, &teardown);
                 }
+                (7, ..) if killed_at.is_infinite() => {
+                    harness.node.stop(harness.now);
+                    killed_at = harness.now + limits::MAX_SHUTDOWN_WAIT + limits::SHUTDOWN_REQUEST_PERIOD;
+                    observed.values_mut().for_each(|session| session.answer_by = session.answer_by.min(killed_at));
+                }
                 _ => {
                     for _ in 0..choice.index(40) {
                         harness.advance(10.0);
@@ -1003,10 +1015,11 @@
             }
             check_written(&mut harness, &mut observed)?;
         }
-        for _ in 0..200 {
+        for _ in 0..400 {
             harness.advance(10.0);
             check_written(&mut harness, &mut observed)?;
         }
+        prop_assert!(harness.exited || killed_at.is_infinite(), "not exited");
         let unanswered = harness.node.engine.session_table.sessions.values().filter(|s| !s.answered).count();
         prop_assert_eq!(unanswered, 0);
     }
--- a/crates/sessions/src/engine.rs
+++ b/crates/sessions/src/engine.rs
@@ -92,6 +92,12 @@
         self.state.viewer_left(&mut self.session_table, id);
     }
 
+    /// Begins to stop the front: every request is answered by `answer_by`. Returns the time by which the caller has to
+    /// report the outcome of each outstanding SETUP.
+    pub fn begin_shutdown(&mut self, answer_by: Ms) -> Ms {
+        self.state.begin_shutdown(&mut self.session_table, answer_by)
+    }
+
     /// Records the outcome of a probe. Call [`DecisionEngine::record_report`] with its load report first.
     pub fn probe_finished(&mut self, server: ServerId, outcome: SetupOutcome, now: Ms) {
         self.state.probe_finished(&mut self.session_table, server, outcome, now);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -82,7 +82,7 @@
 /// For how long after a busy reply all streams of the server count as in use.
 const BUSY_DURATION: Ms = 1_000.0;
 /// Viewers are answered this long before they give up.
-const ANSWER_MARGIN: Ms = 30.0;
+pub(crate) const ANSWER_MARGIN: Ms = 30.0;
 /// Interval between calls for a polled list, as a share of the drain grace: if one answer is lost, another
 /// arrives in time.
 const LIST_POLL_SHARE: f64 = 0.8;
--- a/src/sessions.rs
+++ b/src/sessions.rs
@@ -16,7 +16,7 @@
     /// Highest rung that the viewer can use.
     pub highest_rung: u8,
     pub arrived_at: Ms,
-    /// When the viewer gives up.
+    /// When the viewer gives up, or the front has to have answered because it is being stopped.
     pub viewer_deadline: Ms,
     /// The current rung, or the group's lowest until a server is chosen.
     pub rung: u8,
--- a/src/state.rs
+++ b/src/state.rs
@@ -47,6 +47,8 @@
     pub next_list_call_at: Option<Ms>,
     /// Consecutive failures of requests for the server list.
     pub list_failures: i32,
+    /// When every request has to have been answered; set once the front is being stopped.
+    pub answer_by: Option<Ms>,
     /// Log lines that were not handed out yet.
     pub log_lines: Vec<String>,
 }
@@ -71,6 +73,7 @@
             pending_peer_report: None,
             next_list_call_at: None,
             list_failures: 0,
+            answer_by: None,
             log_lines: Vec::new(),
         }
     }
@@ -137,7 +140,7 @@
             rates_kb_per_s: request.rates_kb_per_s.filter(|kb| kb.len() == self.settings.rung_kb_per_s.len()),
             highest_rung: request.highest_rung.min(group.highest_rung).max(group.lowest_rung),
             arrived_at: now,
-            viewer_deadline: now + request.time_left,
+            viewer_deadline: self.answer_deadline(now + request.time_left),
             rung: group.lowest_rung,
             server: None,
             playing: false,
