Decisions: a request is never held for a probe beyond the end of its viewer's wait

Seen by callers: a request with 60 ms left was answered after 200 ms, when its viewer had gone.

Test `short_wait_is_not_exceeded_by_waiting_for_a_probe`: one of two cases fails before, both pass after. Tests of the decisions pass (174).

--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -100,6 +100,17 @@
     assert_eq!(refused, 5);
 }
 
+#[test_case(60.0; "less than a probe may take")]
+#[test_case(220.0; "hardly more than a probe may take")]
+fn short_wait_is_not_exceeded_by_waiting_for_a_probe(wait_ms: f64) {
+    let mut harness = Harness::new();
+    let viewer = harness.accept_viewer();
+    let limit = format!("X-Ring-Limit: {wait_ms}");
+    harness.receive(viewer, &setup_request(1, "").replace("X-Ring-Limit: 1500", &limit));
+    harness.advance(wait_ms);
+    assert!(harness.take_written("RTSP/1.0 503").is_some(), "{:?}", harness.written);
+}
+
 /// Each of 100 ids is sent twice, with different descriptions, and then cancelled.
 #[test]
 fn cancelled_setups_leave_no_state() {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -417,8 +417,8 @@
             }
             Placement::NotYet => {
                 let probed = self.awaited_probe.take();
-                session.held_until =
-                    Some(now + if probed.is_some() { PROBE_WAIT } else { COLD_REVIEW_INTERVAL });
+                let wait = if probed.is_some() { PROBE_WAIT } else { COLD_REVIEW_INTERVAL };
+                session.held_until = Some((now + wait).min(session.viewer_deadline - ANSWER_MARGIN));
                 session.awaited_probe = probed;
                 session.probed_servers.extend(probed);
                 self.pending_probes.extend(probed);
@@ -471,7 +471,8 @@
         // sessions are not held.
         let measured_at =
             self.fleet.servers[&server].link_use.map_or(Ms::NEG_INFINITY, |last| last.measured_at);
-        let time_to_probe = target_left > group.start_target * MIN_TARGET_LEFT_TO_PROBE;
+        let time_to_probe = target_left > group.start_target * MIN_TARGET_LEFT_TO_PROBE
+            && time_left > PROBE_WAIT + ANSWER_MARGIN;
         let may_probe = self.settings.probes_report_link() && self.probe_debt <= 0.0;
         if may_probe
             && now - measured_at > PROBE_IF_OLDER_THAN
