Sessions: stalls in a row no longer defer time-outs without end

Change: a stall during or right after a deferral begins no other; the time-outs are handled in between.

--- a/crates/sessions/src/stall_detector.rs
+++ b/crates/sessions/src/stall_detector.rs
@@ -21,14 +21,16 @@
 }
 
 impl StallDetector {
-    /// Records that the process woke up; returns the length of a stall, if there was one.
+    /// Records that the process woke up; returns the length of a stall, if there was one. A stall during or right
+    /// after a deferral begins no other: a process that is late each time would never handle its time-outs.
     pub fn record_wakeup(&mut self, now: Ms) -> Option<Ms> {
         let late_by = now - self.due_at.take()?;
-        if late_by < STALL_THRESHOLD {
-            return None;
-        }
-        self.grace_until = Some(now + TIMEOUT_GRACE);
-        Some(late_by)
+        let stalled = late_by >= STALL_THRESHOLD;
+        self.grace_until = match self.grace_until {
+            Some(until) => Some(until).filter(|until| *until > now),
+            None => stalled.then_some(now + TIMEOUT_GRACE),
+        };
+        stalled.then_some(late_by)
     }
 
     /// The process goes to sleep and is due to wake up at this time.
