Decisions: a stopping front refuses at once what it has no time to set up

Need: a request that came in the last moments before the front's end was sent to a server with some milliseconds of time-out, which spoils a request that may not be repeated, and loads a server for nothing. Change: a new request that the front's own end leaves less than a first SETUP may take (0.45 of its start target) is refused at once, with a time to come back; one whose viewer waits no longer than that anyway is tried.

Tests: `request_is_tried_only_with_the_time_of_a_first_setup` fails before (one of two cases), passes after; the tests on real processes pass.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -55,7 +55,7 @@
 /// Smaller delivered shares count as this.
 const MIN_DELIVERED_SHARE: f64 = 0.1;
 /// Share of the remaining start target that the first SETUP may take where another could follow.
-const FIRST_SETUP_SHARE: f64 = 0.45;
+pub(crate) const FIRST_SETUP_SHARE: f64 = 0.45;
 /// Least time-out of a first SETUP, as a share of the start target: a shorter one would cut off healthy
 /// servers. A first SETUP that is left with less may take all of the viewer's remaining time.
 const MIN_TIMEOUT_SHARE: f64 = 0.1;
@@ -437,7 +437,11 @@
             && table.title_session_count(session.title, session.group) >= group.max_sessions_per_title;
         let setups_used_up = session.setup_count >= self.settings.max_setups
             || session.setup_count > 0 && !self.retry_budget_left(now);
-        if time_left <= ANSWER_MARGIN || title_limit_reached || setups_used_up {
+        if time_left <= ANSWER_MARGIN
+            || title_limit_reached
+            || setups_used_up
+            || self.is_too_late_for_setup(session, now)
+        {
             return give_up;
         }
         let loads = table.loads(&self.settings);
--- a/src/shutdown.rs
+++ b/src/shutdown.rs
@@ -1,8 +1,8 @@
 //! Decides what a front that is being stopped still does for its viewers. The process has an end of its own, which
 //! may come before the end of a viewer's wait: each request gets the smaller of both.
-use crate::choice::ANSWER_MARGIN;
+use crate::choice::{ANSWER_MARGIN, FIRST_SETUP_SHARE};
 use crate::ids::Ms;
-use crate::sessions::SessionTable;
+use crate::sessions::{Session, SessionTable};
 use crate::state::FrontState;
 
 impl FrontState {
@@ -18,6 +18,16 @@
         setups_end_by
     }
 
+    /// Whether a new request is to be refused because this front ends before a first SETUP for it has had its usual
+    /// time. Another front can give it that time, unless its viewer's wait is as short.
+    pub(crate) fn is_too_late_for_setup(&self, session: &Session, now: Ms) -> bool {
+        let Some(answer_by) = self.answer_by else { return false };
+        let group = &self.settings.service_groups[session.group.0 as usize];
+        let ends_with_front = session.viewer_deadline >= answer_by;
+        let time_left = answer_by - ANSWER_MARGIN - now;
+        session.setup_count == 0 && ends_with_front && time_left < group.start_target * FIRST_SETUP_SHARE
+    }
+
     /// The time by which a request is answered whose viewer waits until `viewer_deadline`.
     pub(crate) fn answer_deadline(&self, viewer_deadline: Ms) -> Ms {
         self.answer_by.map_or(viewer_deadline, |answer_by| viewer_deadline.min(answer_by))
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -2,6 +2,7 @@
 mod support;
 
 use support::*;
+use test_case::test_case;
 use walnutline::api::{Placement, Request};
 use walnutline::ids::*;
 use walnutline::sessions::Session;
@@ -38,6 +39,31 @@
     }
 }
 
+/// The first SETUP of a request may normally take 450 ms here. Another front can give it that time.
+#[test_case(100.0 => false; "less than a first SETUP may take")]
+#[test_case(1_000.0 => true; "more than a first SETUP may take")]
+fn request_is_tried_only_with_the_time_of_a_first_setup(until_end: Ms) -> bool {
+    let mut front = front(settings());
+    let mut table = session_table([]);
+    front.begin_shutdown(&mut table, NOW + until_end);
+    front.add_request(&mut table, SESSION, request(3_000.0), NOW);
+    match front.place(&mut table, SESSION, NOW) {
+        Placement::Setup { .. } => true,
+        Placement::BusyReply { retry_after: Some(_) } => false,
+        placement => panic!("{placement:?}"),
+    }
+}
+
+/// Such a request would get no more time from another front.
+#[test]
+fn request_with_a_short_wait_of_its_own_is_tried() {
+    let mut front = front(settings());
+    let mut table = session_table([]);
+    front.begin_shutdown(&mut table, NOW + 110.0);
+    front.add_request(&mut table, SESSION, request(100.0), NOW);
+    assert!(matches!(front.place(&mut table, SESSION, NOW), Placement::Setup { .. }));
+}
+
 #[test]
 fn requests_that_end_before_the_front_does_keep_their_time() {
     let mut front = front(settings());
