--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -9,6 +9,7 @@
 //!   and viewers.
 //! - [`publisher`]: the stand-in of a catalogue publisher. [`standalone`]: runs the stand-ins one by one.
 //! - [`record`]: what the stand-ins observed. [`audit`]: the rules and the service figure, judged from the records alone.
+//! - [`soak`]: trials of the front node drawn from a seed, and their rules.
 //! - [`net`]: coroutines, time-outs and HTTP reading.
 pub mod audit;
 pub mod boxes;
@@ -21,5 +22,6 @@
 pub mod record;
 pub mod runner;
 pub mod script;
+pub mod soak;
 pub mod standalone;
 pub mod viewers;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -72,6 +72,8 @@
 const PROBE_IF_OLDER_THAN: Ms = 3_000.0;
 /// How long the answer to a probe is waited for.
 const PROBE_WAIT: Ms = 200.0;
+/// Most of the viewer's remaining time for which the answer to a probe is waited for.
+const MAX_PROBE_WAIT_SHARE: f64 = 0.5;
 /// Most holders that are probed for one session.
 const MAX_PROBES_PER_SESSION: usize = 3;
 /// Holders are probed only while more than this share of the start target is left.
@@ -417,8 +419,12 @@
             }
             Placement::NotYet => {
                 let probed = self.awaited_probe.take();
-                let wait = if probed.is_some() { PROBE_WAIT } else { COLD_REVIEW_INTERVAL };
-                session.held_until = Some((now + wait).min(session.viewer_deadline - ANSWER_MARGIN));
+                let time_left = session.viewer_deadline - ANSWER_MARGIN - now;
+                let wait = match probed {
+                    Some(_) => PROBE_WAIT.min(time_left * MAX_PROBE_WAIT_SHARE),
+                    None => COLD_REVIEW_INTERVAL.min(time_left),
+                };
+                session.held_until = Some(now + wait);
                 session.awaited_probe = probed;
                 session.probed_servers.extend(probed);
                 self.pending_probes.extend(probed);
@@ -475,8 +481,7 @@
         // sessions are not held.
         let measured_at =
             self.fleet.servers[&server].link_use.map_or(Ms::NEG_INFINITY, |last| last.measured_at);
-        let time_to_probe = target_left > group.start_target * MIN_TARGET_LEFT_TO_PROBE
-            && time_left > PROBE_WAIT + ANSWER_MARGIN;
+        let time_to_probe = target_left > group.start_target * MIN_TARGET_LEFT_TO_PROBE;
         let may_probe = self.settings.probes_report_link() && self.probe_debt <= 0.0;
         if may_probe
             && now - measured_at > PROBE_IF_OLDER_THAN
