Rehearsal: soak trials of stopping nodes, drawn from a seed and judged from outside

Six seeds run with the tests, `SOAK_SEEDS=1..50` plays others, `SOAK_NODE` another build.

Three faults of the stand-ins themselves were found by the node's request log on the way: a write error hid unread answers, a pause hid a close, a message was written into another.

--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -1,5 +1,5 @@
 //! Soak trials: real front node processes that are stopped and killed while their servers fail. The trials of a few
-//! fixed seeds run with the tests; `SOAK_SEEDS=1..50` in the environment plays others.
+//! fixed seeds run with the tests; `SOAK_SEEDS=1..50` in the environment plays others, and `SOAK_NODE=PATH` tries another build.
 #[path = "support/node.rs"]
 mod node;
 #[path = "soak/stand_ins.rs"]
@@ -11,7 +11,7 @@
 
 /// Seeds that run with the tests, and how many at a time.
 const CI_SEEDS: std::ops::RangeInclusive<u64> = 1..=6;
-const TRIALS_AT_A_TIME: usize = 2;
+const TRIALS_AT_A_TIME: usize = 3;
 
 /// Seeds from the environment, as in `1..50`, else those of CI.
 fn seeds() -> Vec<u64> {
--- a/crates/cli/tests/soak/stand_ins.rs
+++ b/crates/cli/tests/soak/stand_ins.rs
@@ -4,7 +4,6 @@
 use std::io::{self, ErrorKind, Write};
 use std::net::{TcpListener, TcpStream};
 use std::thread::{sleep, Scope};
-use std::time::Duration;
 use walnutline::ids::Ms;
 use walnutline_rehearsal::soak::audit::{Attempt, RequestRecord};
 use walnutline_rehearsal::soak::trial::ServerMode;
@@ -169,7 +168,8 @@
         let stopping = world.stopping_since(node).is_some_and(|at| world.now() > at + NEW_CONNECTION_PERIOD);
         match TcpStream::connect(world.node_address(node)) {
             Ok(stream) if !stopping => {
-                let mut client = Client { world, node, connection: connection(stream), open: Vec::new() };
+                let mut client =
+                    Client { world, node, connection: connection(stream), open: Vec::new(), deferred: None };
                 let _ = client.run(&mut rng);
                 client.connection_ended();
             }
@@ -184,6 +184,8 @@
     connection: Connection,
     /// Requests without an answer, and when they are given up.
     open: Vec<(u64, Ms)>,
+    /// Messages that wait for the rest of a request that is sent in pieces.
+    deferred: Option<String>,
 }
 
 impl Client<'_> {
@@ -219,7 +221,11 @@
         let (first, rest) = text.as_bytes().split_at(split_at);
         self.connection.stream.write_all(first)?;
         if split_at > 0 {
-            sleep(Duration::from_secs_f64(PIECES_PAUSE * rng.f64() / 1_000.0));
+            self.deferred = Some(String::new());
+            let until = world.now() + PIECES_PAUSE * rng.f64();
+            while world.now() < until {
+                self.receive_answers()?;
+            }
         }
         // Recorded before the last byte is written, as a server may read the set-up at once.
         let sent_at = world.now();
@@ -227,7 +233,9 @@
         world.record().requests.insert(id, request);
         let give_up_at = if rng.f64() < GIVE_UP_SHARE { sent_at + wait * rng.f64() } else { Ms::INFINITY };
         self.open.push((id, give_up_at));
-        self.connection.stream.write_all(rest)
+        self.connection.stream.write_all(rest)?;
+        let deferred = self.deferred.take().unwrap_or_default();
+        self.send(&deferred)
     }
 
     /// Reads what comes within the poll interval, and gives up what is due for it.
@@ -239,7 +247,7 @@
         while let Some(index) = self.open.iter().position(|(_, give_up_at)| *give_up_at <= now) {
             let (id, _) = self.open.swap_remove(index);
             self.world.record().requests.entry(id).or_default().gone_at = Some(now);
-            self.connection.stream.write_all(teardown_request(id, None).as_bytes())?;
+            self.send(&teardown_request(id, None))?;
         }
         Ok(())
     }
@@ -247,7 +255,7 @@
     fn handle(&mut self, message: &str) -> io::Result<()> {
         let (id, now) = (session_id(message), self.world.now());
         if message.starts_with("TEARDOWN") {
-            return self.connection.stream.write_all(response(200, 2, id, "").as_bytes());
+            return self.send(&response(200, 2, id, ""));
         }
         let status = message.strip_prefix("RTSP/1.0 ").and_then(|text| text.get(..3)?.parse().ok());
         if let Some(status) = status.filter(|_| message.contains("CSeq: 1\r\n")) {
@@ -257,8 +265,18 @@
         Ok(())
     }
 
-    /// Records the end of the connection for the requests that are open on it.
+    fn send(&mut self, text: &str) -> io::Result<()> {
+        match &mut self.deferred {
+            Some(deferred) => deferred.push_str(text),
+            None => self.connection.stream.write_all(text.as_bytes())?,
+        }
+        Ok(())
+    }
+
+    /// Records the end of the connection for the requests that are open on it. A write may have failed while answers
+    /// were still unread.
     fn connection_ended(&mut self) {
+        while !self.world.is_over() && self.receive_answers().is_ok() {}
         let (now, world) = (self.world.now(), self.world);
         for (id, _) in self.open.drain(..).filter(|_| !world.is_over()) {
             let excused_until = world.kill_excuses_until(self.node);
--- a/crates/cli/tests/soak/world.rs
+++ b/crates/cli/tests/soak/world.rs
@@ -26,6 +26,11 @@
 /// Time within which a node has to listen.
 const START_LIMIT: Ms = 10_000.0;
 
+/// The program under test: this one, or another build that `SOAK_NODE` names.
+fn program() -> String {
+    std::env::var("SOAK_NODE").unwrap_or_else(|_| env!("CARGO_BIN_EXE_walnutline").to_owned())
+}
+
 /// A node's processes, one after another.
 #[derive(Default)]
 struct NodeState {
@@ -120,10 +125,10 @@
             for node in 0..world.trial.nodes {
                 (0..world.trial.servers)
                     .for_each(|server| drop(scope.spawn(move || run_server(scope, world, server, node))));
-                let client_seed = |client: usize| world.trial.seed << 16 | (node << 8 | client) as u64;
-                (0..world.trial.clients_per_node).for_each(|client| {
-                    scope.spawn(move || run_client(world, node, client_seed(client)));
-                });
+                for client in 0..world.trial.clients_per_node {
+                    let seed = world.trial.seed << 16 | (node << 8 | client) as u64;
+                    scope.spawn(move || run_client(world, node, seed));
+                }
             }
             world.drive();
         });
@@ -233,7 +238,7 @@
 
     fn start(&mut self) {
         let log = File::options().create(true).append(true).open(Self::path(self.world, self.node, "log"));
-        let process = Command::new(env!("CARGO_BIN_EXE_walnutline"))
+        let process = Command::new(program())
             .arg("node")
             .env("NODE_NAME", format!("n{}", self.node))
             .env("NODE_LISTEN", self.world.node_address(self.node).to_string())
@@ -302,7 +307,7 @@
 
 impl Drop for NodeProcess<'_> {
     fn drop(&mut self) {
-        for mut process in self.process.take() {
+        if let Some(mut process) = self.process.take() {
             let _ = process.kill();
             let _ = process.wait();
         }
