--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -1,4 +1,5 @@
 //! Decisions of a front that is being stopped.
+#[allow(dead_code)]
 mod support;
 
 use support::*;
