--- a/crates/cli/tests/soak/world.rs
+++ b/crates/cli/tests/soak/world.rs
@@ -275,7 +275,7 @@
         let mut record = self.world.record();
         record.killed += usize::from(killed);
         record.ended_by_themselves += usize::from(!killed && stopped && success);
-        record.crashes += usize::from(!killed && !(stopped && success));
+        record.crashes += usize::from(!(killed || stopped && success));
         self.process = None;
         self.due_at = self.world.now() + RESTART_DELAY;
     }
