Tests: a process that is to be stopped has stopped before a test goes on

Cause, by a trace of the bytes of three failures: after SIGSTOP was sent the process ran on for 0.1 to 8 ms, accepted the new connection and closed the first idle one, on which nothing had been sent yet. That is allowed; the SETUP that the test means to be unread was sent after it. Other tests that stop a process get the same.

--- a/crates/cli/tests/support/node.rs
+++ b/crates/cli/tests/support/node.rs
@@ -139,10 +139,22 @@
         stream
     }
 
-    /// Sends the process a signal, named as for `kill`: `-TERM`.
+    /// Sends the process a signal, named as for `kill`: `-TERM`. After `-STOP`, returns once the process has stopped.
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill").args([name, &self.process.id().to_string()]).status().unwrap();
         assert!(status.success());
+        while name == "-STOP" && !self.has_stopped() {
+            std::thread::yield_now();
+        }
+    }
+
+    /// Whether every thread of the process has stopped.
+    fn has_stopped(&self) -> bool {
+        let threads = std::fs::read_dir(format!("/proc/{}/task", self.process.id())).unwrap();
+        threads.into_iter().all(|thread| {
+            let status = std::fs::read_to_string(thread.unwrap().path().join("status")).unwrap();
+            status.lines().any(|line| line.starts_with("State:\tT"))
+        })
     }
 }
 
