front: the catalogue is followed at ordinary priority, so that a busy machine does not starve it

Cause: the updating thread ran in the scheduler's idle class, which gets next to nothing where no processor is idle: a wait whose bound lies with the neighbours. The thread needs 1.0 s of processor time (per-thread times), at nice 10 still too little.

--- a/crates/front/src/catalogue.rs
+++ b/crates/front/src/catalogue.rs
@@ -30,6 +30,9 @@
 /// Read time-out while a batch of changes is pending, so that it is applied on time.
 const BATCH_READ_TIMEOUT: Duration = Duration::from_millis(5);
 
+/// Nice value of the thread that writes a snapshot: about a tenth of the share of a thread that answers viewers.
+const SNAPSHOT_NICE: libc::c_int = 10;
+
 /// Counts of differences between requests and the catalogue, by kind and box.
 pub type DifferenceCounts = Vec<(DifferenceKind, Option<ServerId>, u64)>;
 
@@ -49,8 +52,8 @@
     }
 
     /// Passes on counts to be written to the file that `walnutline catalogue diff` reads. Returns `false` if they
-    /// cannot be accepted now. Never blocks: the background thread that writes them has the lowest priority and may
-    /// hold the lock for long.
+    /// cannot be accepted now. Never blocks: the background thread that writes them may
+    /// hold the lock.
     pub fn submit_differences(&self, counts: impl FnOnce() -> DifferenceCounts) -> bool {
         let Ok(mut pending) = self.differences.try_lock() else { return false };
         *pending = Some(counts());
@@ -96,7 +99,6 @@
         snapshot_thread: None,
     };
     std::thread::Builder::new().name("catalogue".into()).spawn(move || {
-        lower_thread_priority();
         updater.load_stored();
         updater.run(seed)
     })?;
@@ -360,12 +362,11 @@
     std::thread::sleep(Duration::from_secs_f64(follower::pause_after(worked_ms) / 1_000.0));
 }
 
-/// Lets this thread run only where a processor is idle otherwise, so that it does not delay answers to viewers.
+/// Gives this thread a small share of a contested processor. It is not left to idle processors alone, as a busy machine
+/// may have none, and a fetch of the catalogue waits for this thread.
 fn lower_thread_priority() {
-    let param = libc::sched_param { sched_priority: 0 };
-    // SAFETY: the call only reads `param` and affects this thread alone.
-    let result = unsafe { libc::sched_setscheduler(0, libc::SCHED_IDLE, &param) };
-    if result != 0 {
+    // SAFETY: the call takes plain numbers; 0 stands for the calling thread.
+    if unsafe { libc::setpriority(libc::PRIO_PROCESS, 0, SNAPSHOT_NICE) } != 0 {
         tracing::debug!("catalogue: thread priority could not be lowered: {}", io::Error::last_os_error());
     }
 }
