node: the end of the node has a module of its own

Need: `core/maintenance.rs` held both the periodic checks and all that happens from SIGTERM to the exit.

--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -7,7 +7,8 @@
 //! - [`server_messages`]: servers' messages.
 //! - [`server_list`]: the list of servers, kept up to date by queries to the name service.
 //! - [`peers`]: load reports between front nodes.
-//! - [`maintenance`]: timers: overdue, idle and silent peers, and the end of the node.
+//! - [`maintenance`]: timers: overdue, idle and silent peers.
+//! - [`shutdown`]: the end of the node.
 //!
 //! State is bounded by what is in use now: open sessions, connections, and servers that are listed or still
 //! in use.
@@ -16,6 +17,7 @@
 mod server_connections;
 mod server_list;
 mod server_messages;
+mod shutdown;
 mod viewer_connections;
 
 use crate::actions::{ConnectionId, IoAction};
