--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -1,5 +1,7 @@
 //! Soak trials: real front node processes that are stopped and killed while their servers fail. The trials of a few
 //! fixed seeds run with the tests; `SOAK_SEEDS=1..50` in the environment plays others, and `SOAK_NODE=PATH` tries another build.
+#[path = "../../platform/tests/support/dns.rs"]
+mod dns;
 #[path = "support/node.rs"]
 mod node;
 #[path = "soak/stand_ins.rs"]
--- a/crates/rehearsal/src/soak/audit.rs
+++ b/crates/rehearsal/src/soak/audit.rs
@@ -11,6 +11,9 @@
 const GONE_CLIENT_LIMIT: Ms = 100.0;
 /// Time within which a request that crosses the close of its connection is sent again elsewhere.
 const CROSSING_TIME: Ms = 50.0;
+/// Time from the news that a server takes no more sessions within which attempts may still begin there; stated in the
+/// settings of a trial.
+const DRAIN_GRACE: Ms = 250.0;
 
 /// A rule of the platform.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
@@ -23,6 +26,8 @@
     TwoAttempts,
     /// An attempt for a client that has gone.
     GoneClient,
+    /// An attempt at a server that the list no longer names.
+    Removed,
     /// A node ended without SIGTERM, or with an error, or did not start in time.
     Crash,
 }
@@ -42,6 +47,8 @@
     pub begun_at: Ms,
     /// When it was answered or given up, or its connection ended.
     pub ended_at: Option<Ms>,
+    /// When its node was told that the server is no longer listed.
+    pub removal_told_at: Option<Ms>,
 }
 
 /// What was seen of one request.
@@ -103,11 +110,14 @@
             .any(|pair| pair[0].ended_at.is_none_or(|ended_at| ended_at > pair[1].begun_at + SLACK));
         let gone_at = self.gone_at.unwrap_or(f64::INFINITY).min(ended_at);
         let for_nobody = |a: &Attempt| a.begun_at > gone_at + GONE_CLIENT_LIMIT + SLACK;
+        let after_removal =
+            |a: &Attempt| a.removal_told_at.is_some_and(|at| a.begun_at > at + DRAIN_GRACE + SLACK);
         let checks = [
             (Rule::Lost, lost),
             (Rule::WrongAnswer, self.answers.len() > 1 || served && !self.accepted),
             (Rule::TwoAttempts, two_out),
             (Rule::GoneClient, self.attempts.iter().any(for_nobody)),
+            (Rule::Removed, self.attempts.iter().any(after_removal)),
         ];
         checks.into_iter().filter(|(_, broken)| *broken).map(|(rule, _)| rule).collect()
     }
--- a/crates/rehearsal/src/soak/trial.rs
+++ b/crates/rehearsal/src/soak/trial.rs
@@ -20,6 +20,9 @@
 #[derive(Debug, Clone, Copy, Serialize)]
 pub enum Fault {
     Server(usize, ServerMode),
+    /// The list no longer names a server, whose process goes on.
+    Remove(usize),
+    NameServiceSilent(bool),
     /// The clients of a node send without a pause between requests.
     Crowd(usize, bool),
     /// SIGHUP to a node.
@@ -70,6 +73,7 @@
             at += 400.0 + rng.f64() * (trial.longest_wait() + 1_500.0);
         }
         trial.duration = at + trial.longest_wait() + 2_500.0;
+        trial.draw_list_faults(&mut rng);
         trial.faults.sort_by(|a, b| a.0.total_cmp(&b.0));
         trial
     }
@@ -109,6 +113,23 @@
     }
 }
 
+impl Trial {
+    /// Servers that leave the list, and a time at which the name service is silent.
+    fn draw_list_faults(&mut self, rng: &mut fastrand::Rng) {
+        for server in 1..self.servers {
+            let at = 500.0 + rng.f64() * self.duration * 0.7;
+            if rng.f64() < 0.25 {
+                self.faults.push((at, Fault::Remove(server)));
+            }
+        }
+        if rng.bool() {
+            let at = rng.f64() * self.duration * 0.6;
+            self.faults.push((at, Fault::NameServiceSilent(true)));
+            self.faults.push((at + 500.0 + 4_000.0 * rng.f64(), Fault::NameServiceSilent(false)));
+        }
+    }
+}
+
 impl RequestClass {
     fn draw(rng: &mut fastrand::Rng) -> RequestClass {
         let deadline = [300.0, 500.0, 1_000.0, 2_000.0, 3_000.0, 5_000.0][rng.usize(..6)];
