--- a/crates/cli/tests/soak/stand_ins.rs
+++ b/crates/cli/tests/soak/stand_ins.rs
@@ -58,6 +58,7 @@
             }
         }
         drop(listener);
+        sleep(POLL_INTERVAL);
         while !world.is_over() && !world.is_up(server) {
             sleep(POLL_INTERVAL);
         }
