Soak: a removal counts as told by time as well as by an answer

Need: the soak judged removals only from the answer that told them, so that a node which no longer asks after a silence would pass. Change: a removal counts as told 1.5 s after it happened or the node started, and 6 s after the end of a silence, if no answer told it sooner.

--- a/crates/cli/tests/soak/world.rs
+++ b/crates/cli/tests/soak/world.rs
@@ -3,7 +3,7 @@
 use super::node::NODE_CONFIGURATION;
 use super::stand_ins::{run_client, run_name_service, run_server};
 use serde_json::{json, Value};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
@@ -26,6 +26,9 @@
 const RESTART_DELAY: Ms = 300.0;
 /// Time after a start within which no SIGHUP comes.
 const FIRST_RELOAD_AFTER: Ms = 1_000.0;
+/// Time after which a change of the list counts as told: from when it happened, and after a silence from its end.
+const TOLD_AFTER: Ms = 1_500.0;
+const TOLD_AFTER_SILENCE: Ms = 6_000.0;
 /// Time within which a node has to listen.
 const START_LIMIT: Ms = 10_000.0;
 
@@ -54,9 +57,10 @@
     modes: Mutex<Vec<ServerMode>>,
     nodes: Mutex<Vec<NodeState>>,
     crowds: Vec<AtomicBool>,
-    name_service_silent: AtomicBool,
-    /// Servers that the list no longer names.
-    removed: Mutex<Vec<usize>>,
+    /// When the name service last fell silent, and when it was back.
+    silence: Mutex<(Ms, Ms)>,
+    /// Servers that the list no longer names, and since when.
+    removed: Mutex<BTreeMap<usize, Ms>>,
     over: AtomicBool,
     directory: tempfile::TempDir,
 }
@@ -69,7 +73,7 @@
             modes: Mutex::new(vec![ServerMode::Answers; trial.servers]),
             nodes: Mutex::new((0..trial.nodes).map(|_| NodeState::default()).collect()),
             crowds: (0..trial.nodes).map(|_| AtomicBool::new(false)).collect(),
-            name_service_silent: AtomicBool::new(false),
+            silence: Mutex::new((Ms::INFINITY, Ms::NEG_INFINITY)),
             removed: Mutex::default(),
             over: AtomicBool::new(false),
             directory: tempfile::tempdir().unwrap(),
@@ -132,22 +136,29 @@
         (self.address(0, 100 + node), 1053).into()
     }
 
-    /// When the present process of a node was told that a server is no longer listed.
+    /// When the present process of a node counts as told that a server is no longer listed.
     pub fn removal_told_at(&self, node: usize, server: usize) -> Option<Ms> {
-        self.nodes.lock().unwrap()[node].removals_told.get(&server).copied()
+        let removed_at = self.removed.lock().unwrap().get(&server).copied()?;
+        let (silent_from, silent_until) = *self.silence.lock().unwrap();
+        let nodes = self.nodes.lock().unwrap();
+        let begin = removed_at.max(nodes[node].started_at);
+        let silent = silent_until > begin && silent_from < begin + TOLD_AFTER;
+        let latest = if silent { silent_until + TOLD_AFTER_SILENCE } else { begin + TOLD_AFTER };
+        let answered_at = nodes[node].removals_told.get(&server).copied();
+        Some(answered_at.unwrap_or(Ms::INFINITY).min(latest))
     }
 
     /// The answer to a node's query for the list, unless the name service is silent. The node counts as told.
     pub fn list_answer(&self, node: usize, query: &[u8]) -> Option<Vec<u8>> {
-        if self.name_service_silent.load(Ordering::SeqCst) {
+        let (now, removed) = (self.now(), self.removed.lock().unwrap().clone());
+        if self.silence.lock().unwrap().1 > now {
             return None;
         }
-        let (now, removed) = (self.now(), self.removed.lock().unwrap().clone());
         let mut nodes = self.nodes.lock().unwrap();
-        for server in &removed {
+        for server in removed.keys() {
             nodes[node].removals_told.entry(*server).or_insert(now);
         }
-        let listed = (0..self.trial.servers).filter(|server| !removed.contains(server));
+        let listed = (0..self.trial.servers).filter(|server| !removed.contains_key(server));
         let targets: Vec<(String, [u8; 4])> = listed
             .map(|server| (format!("s-{server:08x}.depot-a.hosts"), self.address(1 + node, server).octets()))
             .collect();
@@ -199,8 +210,9 @@
         self.note(format!("{fault:?}"));
         match fault {
             Fault::Server(server, mode) => self.modes.lock().unwrap()[server] = mode,
-            Fault::Remove(server) => self.removed.lock().unwrap().push(server),
-            Fault::NameServiceSilent(silent) => self.name_service_silent.store(silent, Ordering::SeqCst),
+            Fault::Remove(server) => drop(self.removed.lock().unwrap().insert(server, self.now())),
+            Fault::NameServiceSilent(true) => *self.silence.lock().unwrap() = (self.now(), Ms::INFINITY),
+            Fault::NameServiceSilent(false) => self.silence.lock().unwrap().1 = self.now(),
             Fault::Crowd(node, crowded) => self.crowds[node].store(crowded, Ordering::SeqCst),
             Fault::Reload(node) => processes[node].reload(),
             Fault::Stop(node) => processes[node].stop(),
