--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,4 +6,8 @@
     echo "run the build of deploy/balancer.toml and review/build.sh first"
     exit 2
 fi
-exec "$here/../bin/stand-in" forgotten-connection "$here/record.txt" "$root"
+rm -f "$here/record.txt.pids"
+"$here/../bin/stand-in" forgotten-connection "$here/record.txt" "$root" &
+stand_in=$!
+trap 'kill -KILL $stand_in $(cat "$here/record.txt.pids" 2>/dev/null); exit 2' HUP INT TERM
+wait $stand_in
--- a/review/stand-in/cases.rs
+++ b/review/stand-in/cases.rs
@@ -17,12 +17,16 @@
 /// PROTOCOL: a session that is over is released within 8 s of its end; every time limit is 50 ms longer.
 const RELEASE_LIMIT_MS: f64 = 8_000.0 + 50.0;
 
+/// The grace after a drain was told, `safety.drain_grace`, and 50 ms for sockets.
+const DRAIN_LIMIT_MS: f64 = 250.0 + 50.0;
+
 pub fn run(case: &str, root: &Path, trouble: bool) -> Verdict {
     match case {
         "refused-flood" => refused_flood(root, trouble),
         "forgotten-connection" => forgotten_connection(root, trouble),
         "lost-answer" => lost_answer(root, trouble),
         "late-reconnect" => late_reconnect(root, trouble),
+        "drain-under-flood" => drain_under_flood(root, trouble),
         "older-list" => older_list(root, trouble),
         "reused-address" => reused_address(root, trouble),
         _ => Err("no such case".into()),
@@ -253,8 +257,6 @@
 /// One front node and two servers. The node is told that one of them drains; later the name service answers with an older
 /// list for 6 s.
 fn older_list(root: &Path, trouble: bool) -> Verdict {
-    /// DESIGN of the rule: the stated grace of 250 ms, and 50 ms for sockets.
-    const DRAIN_LIMIT_MS: f64 = 250.0 + 50.0;
     let servers = [Server::start("s-1")?, Server::start("s-2")?];
     let before = List { number: 1, entries: vec![entry(&servers[0], 0), entry(&servers[1], 1)] };
     let mut after = List { number: 2, ..before.clone() };
@@ -400,3 +402,50 @@
     process::collect_logs(&["n1"])?;
     Ok(released_in_time("session e2", ended_at, released_at))
 }
+
+/// One front node with 1,500 sessions and twelve servers. Clients ask for a title that no server holds by hundreds at
+/// once, and again as soon as they are turned away. Meanwhile one server after the other drains.
+fn drain_under_flood(root: &Path, trouble: bool) -> Verdict {
+    const CLIENTS: u64 = 80;
+    const REQUESTS_AT_ONCE: u64 = 100;
+    let servers: Vec<Server> =
+        (1..=12).map(|n| Server::start(&format!("s-{n}"))).collect::<Result<_, String>>()?;
+    let entries = servers.iter().zip(0..).map(|(server, cell)| entry(server, cell % 11)).collect();
+    let mut list = List { number: 1, entries };
+    let (listen, name_service) = start_single(root, list.clone())?;
+    let viewer = Viewer::connect("viewers", listen)?;
+    for n in 0..1_500 {
+        viewer.hand_over(&wish(0x9000 + n, n % 40, 0, 12), &servers[n as usize % 12].name)?;
+    }
+    pause(2_000);
+    let flood = Arc::new(Flood::default());
+    for client in 1..=if trouble { CLIENTS } else { 0 } {
+        let (flood, wish) = (flood.clone(), Wish { wait_ms: 1_000, ..wish(0, 0xf, 11, 1) });
+        std::thread::spawn(move || {
+            crate::viewer::flood(listen, client << 40, REQUESTS_AT_ONCE, &wish, &flood);
+        });
+    }
+    let mut late: Vec<f64> = Vec::new();
+    for round in 0..5 {
+        let drains = &servers[2 * round];
+        list.entries[2 * round].draining = true;
+        list.number += 1;
+        for n in 0..120 {
+            if n == 25 {
+                name_service.set(list.clone());
+            }
+            viewer.send_setup(&wish(0x10000 + 1_000 * round as u64 + n, 0xc, 2 * round as u32, 2))?;
+            pause(20);
+        }
+        let told_at = name_service.told_at(list.number).ok_or("the event was not asked for")?;
+        let after = drains.setups().into_iter().map(|(at, ..)| at - told_at);
+        late.extend(after.filter(|ms| *ms > DRAIN_LIMIT_MS));
+    }
+    let refused = flood.refused.load(Ordering::Relaxed);
+    record::line("case", &format!("the clients were refused {refused} times"));
+    process::collect_logs(&["n1"])?;
+    let latest = late.iter().copied().fold(0.0, f64::max);
+    Ok((!late.is_empty()).then(|| {
+        format!("{} SETUPs to draining servers, up to {latest:.0} ms after each was told", late.len())
+    }))
+}
--- a/review/stand-in/process.rs
+++ b/review/stand-in/process.rs
@@ -20,6 +20,7 @@
         let _ = std::fs::remove_dir_all(directory);
     }
     record::line("verdict", text);
+    record::forget_processes();
     let _ = writeln!(std::io::stdout(), "{text}");
     std::process::exit(code);
 }
@@ -95,6 +96,7 @@
         .spawn()
         .map_err(|e| e.to_string())?;
     record::line(&configuration.name, &format!("started: {run}"));
+    record::add_process(child.id());
     CHILDREN.lock().unwrap().push(child);
     crate::viewer::wait_until_ready(configuration.listen)?;
     record::line(&configuration.name, "passed its first test");
--- a/review/stand-in/record.rs
+++ b/review/stand-in/record.rs
@@ -5,8 +5,11 @@
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 static RECORD: OnceLock<(Instant, Mutex<File>)> = OnceLock::new();
+/// File with the ids of the processes that the run has started, for a script that is ended early.
+static PROCESSES: OnceLock<String> = OnceLock::new();
 
 pub fn start(path: &str) {
+    let _ = PROCESSES.set(format!("{path}.pids"));
     let file = File::create(path).expect("the record can be written");
     let _ = RECORD.set((Instant::now(), Mutex::new(file)));
 }
@@ -25,3 +28,13 @@
         let _ = writeln!(file.lock().unwrap(), "{:10.1} {actor:<14} {text}", now());
     }
 }
+
+pub fn add_process(id: u32) {
+    let Some(path) = PROCESSES.get() else { return };
+    let ids = std::fs::read_to_string(path).unwrap_or_default();
+    let _ = std::fs::write(path, format!("{ids}{id}\n"));
+}
+
+pub fn forget_processes() {
+    let _ = PROCESSES.get().map(std::fs::remove_file);
+}
--- a/review/stand-in/viewer.rs
+++ b/review/stand-in/viewer.rs
@@ -24,10 +24,11 @@
 }
 
 impl Wish {
-    fn to_text(&self) -> String {
+    /// The set-up, with more parameters of its destination.
+    fn to_text(&self, more: &str) -> String {
         let body = format!("v={:x}\r\nc=IN IP4 127.0.0.1\r\n", self.id);
         format!(
-            "SETUP rtsp://media/{:016x} RTSP/1.0\r\nCSeq: 1\r\nSession: {:016x}\r\nX-Call-Class: {}\r\nX-Ring-Limit: {}\r\nX-Dest: home:{};copies:{};top:1;viewer:{:016x}\r\nContent-Length: {}\r\n\r\n{body}",
+            "SETUP rtsp://media/{:016x} RTSP/1.0\r\nCSeq: 1\r\nSession: {:016x}\r\nX-Call-Class: {}\r\nX-Ring-Limit: {}\r\nX-Dest: home:{};copies:{};top:1;viewer:{:016x}{more}\r\nContent-Length: {}\r\n\r\n{body}",
             self.title, self.id, self.class, self.wait_ms, self.home, self.copies, self.id, body.len()
         )
     }
@@ -53,7 +54,7 @@
     while !flood.stopped.load(Ordering::Relaxed) {
         let mut text = String::new();
         while open < count {
-            text += &Wish { id, ..*wish }.to_text();
+            text += &Wish { id, ..*wish }.to_text("");
             (id, open) = (id + 1, open + 1);
         }
         if stream.write_all(text.as_bytes()).is_err() {
@@ -94,7 +95,13 @@
 
     pub fn send_setup(&self, wish: &Wish) -> Result<(), String> {
         record::line(&self.name, &format!("-> SETUP {:016x} title {:x}", wish.id, wish.title));
-        self.stream.lock().unwrap().write_all(wish.to_text().as_bytes()).map_err(|e| format!("viewer: {e}"))
+        self.stream.lock().unwrap().write_all(wish.to_text("").as_bytes()).map_err(|e| format!("viewer: {e}"))
+    }
+
+    /// Hands over a session that plays at a server.
+    pub fn hand_over(&self, wish: &Wish, server: &str) -> Result<(), String> {
+        let text = wish.to_text(&format!(";at:{server}"));
+        self.stream.lock().unwrap().write_all(text.as_bytes()).map_err(|e| format!("viewer: {e}"))
     }
 
     /// The final answer to a set-up, waited for until `timeout_ms` from now.
