node: time-outs of withdrawn requests are removed before they are due

A client that asks and withdraws at full speed, with the longest wait that is accepted, makes the node's memory grow by 40 bytes a request for as long as the wait: ten times the longest wait of any class. Cause: TimerQueue kept each entry until its time, whether or not anything was left to do then. Fix: the queue asks its owner to remove obsolete entries whenever it has doubled since the last time; that takes constant time per entry on average.

--- a/crates/node/src/core/maintenance.rs
+++ b/crates/node/src/core/maintenance.rs
@@ -55,7 +55,7 @@
             }
             TimerEvent::ShutdownCheck => {
                 self.exit_if_done(now);
-                self.timers.schedule(now + limits::SHUTDOWN_CHECK_INTERVAL, TimerEvent::ShutdownCheck);
+                self.schedule(now + limits::SHUTDOWN_CHECK_INTERVAL, TimerEvent::ShutdownCheck);
             }
             TimerEvent::Sweep => {
                 self.sweep_viewers(now);
@@ -66,7 +66,7 @@
                     self.early_ends.clear();
                 }
                 self.pending_releases.retain(|r| now - r.created_at < limits::RELEASE_RETENTION);
-                self.timers.schedule(now + limits::SWEEP_INTERVAL, TimerEvent::Sweep);
+                self.schedule(now + limits::SWEEP_INTERVAL, TimerEvent::Sweep);
             }
         }
     }
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -196,6 +196,42 @@
         self.sessions.values().filter(|s| matches!(s.stage, Stage::Pending { .. })).count()
     }
 
+    /// Number of scheduled timers, to which the memory they take is proportional.
+    pub fn timer_count(&self) -> usize {
+        self.timers.len()
+    }
+
+    /// Schedules a timer.
+    fn schedule(&mut self, due_at: Ms, event: TimerEvent) {
+        if self.timers.needs_purge() {
+            let mut timers = std::mem::take(&mut self.timers);
+            timers.purge(|event| self.is_obsolete(event));
+            self.timers = timers;
+        }
+        self.timers.schedule(due_at, event);
+    }
+
+    /// Whether nothing will be left to do when this timer is due.
+    fn is_obsolete(&self, event: &TimerEvent) -> bool {
+        match event {
+            TimerEvent::SetupTimeout { id, attempt } => self.pending_setup(*id, *attempt).is_none(),
+            TimerEvent::ConnectTimeout { conn } => self.server_connections.get(conn).is_none_or(|c| c.up),
+            TimerEvent::OptionsTimeout { conn, id } => {
+                self.server_connections.get(conn).is_none_or(|c| !c.pending_options.contains_key(id))
+            }
+            TimerEvent::Reconnect { server } => !self.servers.contains_key(server),
+            TimerEvent::ShutdownCheck | TimerEvent::Sweep => false,
+        }
+    }
+
+    /// The pending SETUP of a session, if it is still this attempt.
+    fn pending_setup(&self, id: SessionId, attempt: u32) -> Option<PendingSetup> {
+        match &self.sessions.get(&id)?.stage {
+            Stage::Pending { setup: Some(setup), .. } if setup.attempt == attempt => Some(*setup),
+            _ => None,
+        }
+    }
+
     /// Requests a log line for each event of each request. Without it, only those of a stopping node are
     /// logged.
     pub fn log_requests(&mut self) {
--- a/crates/node/src/core/server_connections.rs
+++ b/crates/node/src/core/server_connections.rs
@@ -126,8 +126,7 @@
             last_used_at: now,
         };
         self.server_connections.insert(conn, connection);
-        self.timers
-            .schedule(now + self.configuration.connect_timeout_ms, TimerEvent::ConnectTimeout { conn });
+        self.schedule(now + self.configuration.connect_timeout_ms, TimerEvent::ConnectTimeout { conn });
         self.io_actions.push(IoAction::Connect { conn, address });
         Some(conn)
     }
@@ -271,7 +270,7 @@
                 self.connect(server_id, now);
             } else if let Some(server) = self.servers.get_mut(&server_id) {
                 let delay = server.retry.next_delay(&mut self.rng);
-                self.timers.schedule(now + delay, TimerEvent::Reconnect { server: server_id });
+                self.schedule(now + delay, TimerEvent::Reconnect { server: server_id });
             }
         }
         let outcome = match (connection.up, end) {
@@ -356,7 +355,7 @@
         if let Stage::Pending { setup, .. } = &mut session.stage {
             *setup = Some(PendingSetup { server: server_id, conn, attempt, sent: false });
         }
-        self.timers.schedule(now + timeout, TimerEvent::SetupTimeout { id, attempt });
+        self.schedule(now + timeout, TimerEvent::SetupTimeout { id, attempt });
         self.request_counts.setups += 1;
         self.log_request(id, |node| {
             let up = node.server_connections.get(&conn).is_some_and(|c| c.up);
@@ -411,21 +410,14 @@
 
     /// Ends an offered SETUP unsent, as its connection can't take it now; another server may be used.
     pub fn setup_blocked(&mut self, id: SessionId, attempt: u32, now: Ms) {
-        if let Some(Stage::Pending { setup: Some(setup), .. }) = self.sessions.get(&id).map(|s| &s.stage) {
-            let setup = *setup;
-            if setup.attempt == attempt && !setup.sent {
-                self.cancel_setup(id, setup);
-                self.setup_ended(id, SetupOutcome::NeverSent, now);
-                self.process_engine_actions(now);
-            }
-        }
+        let Some(setup) = self.pending_setup(id, attempt).filter(|setup| !setup.sent) else { return };
+        self.cancel_setup(id, setup);
+        self.setup_ended(id, SetupOutcome::NeverSent, now);
+        self.process_engine_actions(now);
     }
 
     pub(super) fn setup_timed_out(&mut self, id: SessionId, attempt: u32, now: Ms) {
-        let setup = match self.sessions.get(&id).map(|s| &s.stage) {
-            Some(Stage::Pending { setup: Some(setup), .. }) if setup.attempt == attempt => *setup,
-            _ => return,
-        };
+        let Some(setup) = self.pending_setup(id, attempt) else { return };
         self.cancel_setup(id, setup);
         let up = self.server_connections.get(&setup.conn).is_some_and(|c| c.up);
         let outcome = match setup.sent {
@@ -526,7 +518,7 @@
             OptionsPurpose::Probe => (self.configuration.probe_timeout_ms, server::load_probe_request(id)),
             OptionsPurpose::Ping => (limits::PING_TIMEOUT, server::ping_request(id)),
         };
-        self.timers.schedule(now + timeout, TimerEvent::OptionsTimeout { conn, id });
+        self.schedule(now + timeout, TimerEvent::OptionsTimeout { conn, id });
         self.io_actions.push(IoAction::Write { conn, bytes });
     }
 
--- a/crates/node/src/core/shutdown.rs
+++ b/crates/node/src/core/shutdown.rs
@@ -13,7 +13,7 @@
             return self.io_actions.push(IoAction::Log("already stopping".into()));
         }
         self.stop_requested_at = Some(requested_at);
-        self.timers.schedule(requested_at + limits::SHUTDOWN_REQUEST_PERIOD, TimerEvent::ShutdownCheck);
+        self.schedule(requested_at + limits::SHUTDOWN_REQUEST_PERIOD, TimerEvent::ShutdownCheck);
         self.log_stop(requested_at);
         let setups_end_by = self.engine.begin_shutdown(requested_at + self.shutdown_period());
         self.end_setups_by(setups_end_by);
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -219,3 +219,8 @@
          Content-Length: 0\r\n\r\n"
     )
 }
+
+/// The TEARDOWN by which a viewer withdraws a request that is not answered yet.
+pub fn withdrawal(id: u64) -> String {
+    format!("TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: {id:016x}\r\nContent-Length: 0\r\n\r\n")
+}
--- a/crates/sessions/src/timer_queue.rs
+++ b/crates/sessions/src/timer_queue.rs
@@ -1,10 +1,14 @@
 //! Timers in the order in which they are due: a heap with one entry per outstanding SETUP, probe and connection.
-//! Scheduling and popping take O(log n). Entries are not cancelled: an entry that has become obsolete comes up at its
-//! time, and its owner skips it. So the heap holds at most what was started within the longest time-out.
+//! Scheduling and popping take O(log n). Entries are not cancelled one by one: an entry that has become obsolete comes up
+//! at its time, and its owner skips it. Before that, the owner removes all obsolete entries whenever the queue asks for it,
+//! so that the heap holds at most about twice as many entries as are in use.
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
 use walnutline::ids::Ms;
 
+/// Obsolete entries are not searched for below this length.
+const MIN_PURGE_LENGTH: usize = 1_024;
+
 struct Entry<T> {
     due_at: Ms,
     sequence: u64,
@@ -37,11 +41,13 @@
     heap: BinaryHeap<Entry<T>>,
     /// Number of entries scheduled so far.
     scheduled: u64,
+    /// Length at which obsolete entries are to be removed.
+    purge_length: usize,
 }
 
 impl<T> Default for TimerQueue<T> {
     fn default() -> Self {
-        TimerQueue { heap: BinaryHeap::new(), scheduled: 0 }
+        TimerQueue { heap: BinaryHeap::new(), scheduled: 0, purge_length: MIN_PURGE_LENGTH }
     }
 }
 
@@ -65,6 +71,17 @@
         self.heap.pop().map(|entry| entry.item)
     }
 
+    /// Whether the queue has doubled since obsolete items were last removed from it.
+    pub fn needs_purge(&self) -> bool {
+        self.heap.len() >= self.purge_length
+    }
+
+    /// Removes the items that are obsolete. Takes O(n).
+    pub fn purge(&mut self, is_obsolete: impl Fn(&T) -> bool) {
+        self.heap.retain(|entry| !is_obsolete(&entry.item));
+        self.purge_length = MIN_PURGE_LENGTH.max(2 * self.heap.len());
+    }
+
     /// Number of scheduled items.
     pub fn len(&self) -> usize {
         self.heap.len()
