--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -5,7 +5,7 @@
 
 use proptest::prelude::*;
 use std::collections::BTreeMap;
-use support::{release_request, setup_request, setup_response, Harness, CONFIGURATION};
+use support::{release_request, setup_request, setup_response, withdrawal, Harness, CONFIGURATION};
 use test_case::test_case;
 use walnutline_node::actions::{ConnectionEnd, ConnectionId};
 use walnutline_node::limits;
@@ -116,13 +116,12 @@
 fn cancelled_setups_leave_no_state() {
     let mut harness = Harness::new();
     let viewer = harness.accept_viewer();
-    let teardown = |id| release_request(id, 31).replace("Reason: cause=31\r\n", "");
     let requests: String =
         (1..=100).map(|id| setup_request(id, "a\r\n") + &setup_request(id, "b\r\n")).collect();
     harness.receive(viewer, &requests);
     assert_eq!(harness.written.iter().filter(|(_, t)| t.starts_with("RTSP/1.0 400")).count(), 100);
     harness.advance(30.0);
-    let teardowns: String = (1..=100).map(teardown).collect();
+    let teardowns: String = (1..=100).map(withdrawal).collect();
     harness.receive(viewer, &teardowns);
     assert_eq!(harness.node.engine.session_table.sessions.len(), 0);
     harness.written.clear();
