node: each connection to a server is judged by what comes in on it

Cause: the last word of a server, on any connection, stood for the liveness of each; a SETUP without an answer left its connection in use. Closing the dead connection is not enough: the server can't notice that and still sends on it, and repeats releases only on the next connection opened. Fix: Liveness per connection; in doubt after 1.2 s (others are preferred), pinged after 3 s, closed when its server answers elsewhere after the ping failed. While the server may still take a dead connection for open, until its idle time-out, a new connection is opened every 6 s for sessions whose connection is gone.

--- a/crates/node/src/core/maintenance.rs
+++ b/crates/node/src/core/maintenance.rs
@@ -1,10 +1,11 @@
 //! Timers: overdue, idle and silent peers.
-use super::server_connections::OptionsPurpose;
-use super::{Node, TimerEvent};
+use super::server_connections::{OptionsPurpose, Server, ServerConnection};
+use super::{Node, Stage, TimerEvent};
 use crate::actions::{ConnectionId, IoAction};
 use crate::limits;
+use std::collections::BTreeSet;
 use walnutline::fleet::ServerState;
-use walnutline::ids::Ms;
+use walnutline::ids::{Ms, ServerId, SessionId};
 
 impl Node {
     /// The latest time at which [`Node::process_due`] is to be called next.
@@ -93,57 +94,131 @@
         }
     }
 
-    /// Closes connections to servers that are overdue or idle, opens those that are missing, and pings silent
-    /// servers.
+    /// Closes connections to servers that are overdue, dead or idle, opens those that are missing, and pings those
+    /// that may not work.
     fn sweep_servers(&mut self, now: Ms) {
-        let is_overdue = |since: Option<Ms>| since.is_some_and(|t| now - t >= limits::SERVER_MESSAGE_TIMEOUT);
-        let overdue = self.server_connections.iter().filter(|(_, c)| c.up && is_overdue(c.partial_since));
-        let overdue: Vec<ConnectionId> = overdue.map(|(conn, _)| *conn).collect();
-        overdue.into_iter().for_each(|conn| self.close_server_connection(conn, now));
+        self.close_dead_connections(now);
         let mut close = Vec::new();
         let mut ping = Vec::new();
-        let mut reconnect = Vec::new();
+        let mut connect = Vec::new();
         for (id, server) in &self.servers {
-            // A server reports the ends of sessions on the next connection that is opened, and viewers have
-            // to be told of them in time.
-            if server.connections.is_empty()
-                && server.needs_connection()
-                && now - server.closed_for_room_at >= limits::MAX_TIME_WITHOUT_CONNECTION
-            {
-                reconnect.push(*id);
+            if self.needs_new_connection(server, now) {
+                connect.push(*id);
             }
-            let in_use = server.needs_connection();
-            let up_connections: Vec<ConnectionId> = server
-                .connections
-                .iter()
-                .copied()
-                .filter(|conn| self.server_connections.get(conn).is_some_and(|c| c.up))
-                .collect();
-            for (index, conn) in up_connections.iter().enumerate() {
-                let connection = &self.server_connections[conn];
-                let busy = !connection.pending_setups.is_empty() || !connection.pending_options.is_empty();
-                let idle_timeout = match index {
-                    // A release that crosses the close would be lost.
-                    _ if in_use => Ms::INFINITY,
-                    0 if server.list_state == ServerState::Gone => 0.0,
-                    0 => self.configuration.idle_timeout_ms * limits::IDLE_TIMEOUT_SHARE,
-                    _ => limits::EXTRA_CONNECTION_IDLE_TIMEOUT,
-                };
-                if !busy && now - connection.last_used_at >= idle_timeout {
-                    close.push(*conn);
-                }
-            }
-            if let (true, Some(conn)) =
-                (in_use && now - server.last_seen_at >= limits::PING_AFTER_SILENCE, up_connections.first())
-            {
-                if self.server_connections[conn].pending_options.values().all(|p| *p != OptionsPurpose::Ping)
-                {
-                    ping.push(*conn);
-                }
+            close.extend(self.idle_connections(server, now));
+            if server.needs_connection() {
+                ping.extend(self.connections_to_ping(server, now));
             }
         }
-        reconnect.into_iter().for_each(|id| self.ensure_connection(id, now));
+        connect.into_iter().for_each(|id| self.renew_connection(id, now));
         ping.into_iter().for_each(|conn| self.send_options(conn, OptionsPurpose::Ping, now));
         close.into_iter().for_each(|conn| self.close_server_connection(conn, now));
     }
+
+    /// Closes connections on which a message has not been completed in time, or that are dead though their server is
+    /// alive.
+    fn close_dead_connections(&mut self, now: Ms) {
+        let servers = &self.servers;
+        let is_dead = |c: &mut ServerConnection| {
+            let incomplete = c.partial_since.is_some_and(|t| now - t >= limits::SERVER_MESSAGE_TIMEOUT);
+            let server_heard_at = servers.get(&c.server).map_or(Ms::NEG_INFINITY, |s| s.last_message_at);
+            c.up && (incomplete || c.liveness.check_dead(server_heard_at, now))
+        };
+        let connections = self.server_connections.iter_mut();
+        let dead: Vec<ConnectionId> =
+            connections.filter_map(|(conn, c)| is_dead(c).then_some(*conn)).collect();
+        dead.into_iter().for_each(|conn| self.give_up_dead_connection(conn, now));
+    }
+
+    /// Whether a connection is to be opened now, for what the server reports on it.
+    fn needs_new_connection(&self, server: &Server, now: Ms) -> bool {
+        // A server reports the ends of sessions on the next connection that is opened, and viewers have to be told
+        // of them in time.
+        if server.connections.is_empty() {
+            return server.list_state != ServerState::Gone
+                && server.needs_connection()
+                && now - server.closed_for_room_at >= limits::MAX_TIME_WITHOUT_CONNECTION;
+        }
+        let due = server.last_connected_at <= server.dead_connection_at
+            || now - server.last_connected_at >= limits::MAX_RELEASE_REPEAT_INTERVAL;
+        due && server.list_state != ServerState::Gone
+            && now >= server.retry_at
+            && self.connections_of(server).all(|(_, c)| c.up)
+            && self.may_lose_releases(server, now)
+    }
+
+    /// Whether releases may be lost on a dead connection that the server takes for open: it sends them on the
+    /// connection on which it accepted the session, or on any one if that has been closed. It closes idle connections
+    /// itself after a while.
+    fn may_lose_releases(&self, server: &Server, now: Ms) -> bool {
+        let until = server.dead_connection_at
+            + self.configuration.idle_timeout_ms
+            + limits::MAX_RELEASE_REPEAT_INTERVAL;
+        let accepted_on = server.sessions.iter().map(|id| self.accepted_on(*id));
+        now < until
+            && accepted_on.into_iter().any(|conn| conn.is_none_or(|conn| !server.connections.contains(&conn)))
+    }
+
+    /// The connection on which a server accepted a playing session, unless it was handed over.
+    fn accepted_on(&self, id: SessionId) -> Option<ConnectionId> {
+        match self.sessions.get(&id)?.stage {
+            Stage::Playing { server_conn, .. } => server_conn,
+            Stage::Pending { .. } => None,
+        }
+    }
+
+    /// Opens a new connection to a server, in place of any that only served for the same purpose. What is lost on these
+    /// is repeated on the new one.
+    fn renew_connection(&mut self, server_id: ServerId, now: Ms) {
+        let Some(server) = self.servers.get(&server_id) else { return };
+        let in_use: BTreeSet<ConnectionId> =
+            server.sessions.iter().filter_map(|id| self.accepted_on(*id)).collect();
+        let spare = self.connections_of(server).filter(|(conn, c)| {
+            c.up && !in_use.contains(conn) && c.pending_setups.is_empty() && c.pending_options.is_empty()
+        });
+        let mut spare: Vec<(Ms, ConnectionId)> = spare.map(|(conn, c)| (c.last_used_at, conn)).collect();
+        spare.sort_by(|a, b| a.0.total_cmp(&b.0));
+        if spare.len() == server.connections.len() {
+            spare.pop();
+        }
+        for (_, conn) in spare {
+            self.close_working_connection(conn, server_id, now);
+        }
+        self.connect(server_id, now);
+    }
+
+    /// The connections to a server that have been idle for long enough to be closed.
+    fn idle_connections<'a>(
+        &'a self,
+        server: &'a Server,
+        now: Ms,
+    ) -> impl Iterator<Item = ConnectionId> + 'a {
+        let idle_timeout = |index: usize| match index {
+            // A release that crosses the close would be lost.
+            _ if server.needs_connection() => Ms::INFINITY,
+            0 if server.list_state == ServerState::Gone => 0.0,
+            0 => self.configuration.idle_timeout_ms * limits::IDLE_TIMEOUT_SHARE,
+            _ => limits::EXTRA_CONNECTION_IDLE_TIMEOUT,
+        };
+        let up = self.connections_of(server).filter(|(_, c)| c.up).enumerate();
+        let idle = up.filter(move |(index, (_, c))| {
+            let busy = !c.pending_setups.is_empty() || !c.pending_options.is_empty();
+            !busy && now - c.last_used_at >= idle_timeout(*index)
+        });
+        idle.map(|(_, (conn, _))| conn)
+    }
+
+    /// The connections to a server in use that may not work: those on which requests stay unanswered, and the latest
+    /// one if the server has been silent everywhere.
+    fn connections_to_ping(&self, server: &Server, now: Ms) -> Vec<ConnectionId> {
+        let up: Vec<_> = self.connections_of(server).filter(|(_, c)| c.up).collect();
+        let in_doubt = up.iter().filter(|(_, c)| c.liveness.wants_ping(now)).map(|(conn, _)| *conn);
+        let mut ping: Vec<ConnectionId> = in_doubt.collect();
+        if now - server.last_seen_at >= limits::PING_AFTER_SILENCE {
+            let latest = up.iter().max_by_key(|(conn, c)| (!c.liveness.has_failed_ping(), *conn));
+            ping.extend(latest.map(|(conn, _)| *conn).filter(|conn| !ping.contains(conn)));
+        }
+        ping.retain(|conn| !self.server_connections[conn].awaits_ping());
+        ping
+    }
 }
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -4,6 +4,7 @@
 //!
 //! - [`viewer_connections`]: viewers' messages and the answers to them.
 //! - [`server_connections`]: connections to servers, and what the end of one implies.
+//! - [`liveness`]: what is known of the liveness of one connection.
 //! - [`server_messages`]: servers' messages.
 //! - [`server_list`]: the list of servers, kept up to date by queries to the name service.
 //! - [`peers`]: load reports between front nodes.
@@ -12,6 +13,7 @@
 //!
 //! State is bounded by what is in use now: open sessions, connections, and servers that are listed or still
 //! in use.
+mod liveness;
 mod maintenance;
 mod peers;
 mod server_connections;
@@ -50,9 +52,14 @@
 enum Stage {
     /// The viewer's request is not answered yet; the answer goes to `viewer_conn`.
     Pending { viewer_conn: ConnectionId, request: Box<SetupRequest>, setup: Option<PendingSetup> },
-    /// The session plays. `viewer_conn` is the connection that brought its set-up, which may have closed
-    /// since, and `since` the time from which it is known to play.
-    Playing { viewer_conn: Option<ConnectionId>, server: ServerId, since: Ms },
+    /// The session plays. `viewer_conn` is the connection that brought its set-up and `server_conn` the one on which
+    /// the server accepted it; both may have closed since. `since` is the time from which it is known to play.
+    Playing {
+        viewer_conn: Option<ConnectionId>,
+        server: ServerId,
+        server_conn: Option<ConnectionId>,
+        since: Ms,
+    },
 }
 
 /// A pending request or a playing session.
--- a/crates/node/src/core/server_connections.rs
+++ b/crates/node/src/core/server_connections.rs
@@ -1,4 +1,5 @@
 //! Connections to servers: which one a message is sent on, and what the end of one implies.
+use super::liveness::Liveness;
 use super::{Node, PendingSetup, Stage, TimerEvent};
 use crate::actions::{ConnectionEnd, ConnectionId, IoAction};
 use crate::limits;
@@ -33,6 +34,13 @@
     pub process_known_since: Ms,
     /// When a connection to it last ended or could not be opened.
     pub last_disconnect_at: Ms,
+    /// When a connection to it was last opened.
+    pub last_connected_at: Ms,
+    /// When a connection was last given up on which nothing came through: the server may take it for open, and may
+    /// send releases on it of sessions that began before.
+    pub dead_connection_at: Ms,
+    /// No connection is opened before this time, as the last attempt failed.
+    pub retry_at: Ms,
     /// When a connection to it was last closed to make room for another.
     pub closed_for_room_at: Ms,
     /// Connections in a row that could not be opened.
@@ -56,6 +64,21 @@
     Ping,
 }
 
+/// An OPTIONS request without an answer.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PendingOptions {
+    pub purpose: OptionsPurpose,
+    pub sent_at: Ms,
+}
+
+/// What speaks against a connection when one is chosen for a request, the gravest first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct ConnectionLoad {
+    in_doubt: bool,
+    opening: bool,
+    pending_setups: usize,
+}
+
 /// A connection to a server, from the attempt to open it to its end.
 pub(super) struct ServerConnection {
     pub server: ServerId,
@@ -66,13 +89,14 @@
     pub partial_since: Option<Ms>,
     /// SETUPs without an answer, sent or waiting for the connection to open.
     pub pending_setups: BTreeSet<SessionId>,
-    pub pending_options: BTreeMap<u64, OptionsPurpose>,
+    pub pending_options: BTreeMap<u64, PendingOptions>,
     /// Probes that wait for the connection to open.
     pub queued_probes: u32,
     /// Set-ups that were cancelled or refused: if a positive answer still comes, the session is released.
     pub ended_setups: VecDeque<SessionId>,
     /// Releases written but not confirmed, with their times: they are sent again if the connection is lost.
     pub unconfirmed_releases: VecDeque<(Ms, SessionId)>,
+    pub liveness: Liveness,
     /// When the connection attempt began.
     pub opened_at: Ms,
     pub last_used_at: Ms,
@@ -94,6 +118,25 @@
 }
 
 impl ServerConnection {
+    /// Number of probes that were sent and not answered.
+    fn pending_probes(&self) -> u32 {
+        self.pending_options.values().filter(|p| p.purpose == OptionsPurpose::Probe).count() as u32
+    }
+
+    /// Whether a ping was sent and not answered.
+    pub fn awaits_ping(&self) -> bool {
+        self.pending_options.values().any(|p| p.purpose == OptionsPurpose::Ping)
+    }
+
+    /// How well the connection suits a new request; the least value is best.
+    fn load(&self, now: Ms) -> ConnectionLoad {
+        ConnectionLoad {
+            in_doubt: self.liveness.is_in_doubt(now),
+            opening: !self.up,
+            pending_setups: self.pending_setups.len(),
+        }
+    }
+
     pub fn record_ended_setup(&mut self, id: SessionId) {
         if self.ended_setups.len() >= limits::MAX_ENDED_SETUPS {
             self.ended_setups.pop_front();
@@ -103,9 +146,18 @@
 }
 
 impl Node {
+    /// The connections to a server, opening ones included.
+    pub(super) fn connections_of<'a>(
+        &'a self,
+        server: &'a Server,
+    ) -> impl Iterator<Item = (ConnectionId, &'a ServerConnection)> {
+        let connections = server.connections.iter();
+        connections.filter_map(|conn| Some((*conn, self.server_connections.get(conn)?)))
+    }
+
     // ---- opening and closing ----
 
-    fn connect(&mut self, server_id: ServerId, now: Ms) -> Option<ConnectionId> {
+    pub(super) fn connect(&mut self, server_id: ServerId, now: Ms) -> Option<ConnectionId> {
         if self.server_connections.len() >= self.max_server_connections && !self.make_room(now) {
             return None;
         }
@@ -122,6 +174,7 @@
             queued_probes: 0,
             ended_setups: VecDeque::new(),
             unconfirmed_releases: VecDeque::new(),
+            liveness: Liveness::alive(),
             opened_at: now,
             last_used_at: now,
         };
@@ -150,25 +203,20 @@
     }
 
     /// Closes a connection that works: its end says nothing about the server.
-    fn close_working_connection(&mut self, conn: ConnectionId, server_id: ServerId, now: Ms) {
+    pub(super) fn close_working_connection(&mut self, conn: ConnectionId, server_id: ServerId, now: Ms) {
         let releases =
             self.server_connections.remove(&conn).map(|c| c.unconfirmed_releases).unwrap_or_default();
         self.io_actions.push(IoAction::Close { conn });
         let Some(server) = self.servers.get_mut(&server_id) else { return };
         server.connections.retain(|c| *c != conn);
         server.closed_for_room_at = now;
-        match server
-            .connections
-            .iter()
-            .copied()
-            .find(|other| self.server_connections.get(other).is_some_and(|c| c.up))
-        {
-            None => server.keep_unconfirmed(releases, now),
-            Some(other) => {
-                let recent = releases.into_iter().filter(|(at, _)| now - at < limits::RELEASE_RETENTION);
-                recent.for_each(|(_, id)| self.write_to_server(other, id, SessionMessage::Release, now));
-            }
+        let any_up =
+            server.connections.iter().any(|other| self.server_connections.get(other).is_some_and(|c| c.up));
+        if !any_up {
+            return server.keep_unconfirmed(releases, now);
         }
+        let recent = releases.into_iter().filter(|(at, _)| now - at < limits::RELEASE_RETENTION);
+        recent.for_each(|(_, id)| self.send_to_server(server_id, id, SessionMessage::Release, now));
     }
 
     /// Opens a connection to a listed server that has none.
@@ -193,35 +241,15 @@
         );
         let Some(server) = self.servers.get_mut(&server_id) else { return };
         server.connect_failures = 0;
+        server.last_connected_at = now;
         server.retry.reset();
         // The process can't have been replaced since its last message: earlier connections were reset, but it
         // is alive. A message to another node may have come from a new process already, so it doesn't count.
         if now - server.last_message_at < limits::MIN_PROCESS_RESTART_TIME {
             self.engine.confirm_alive(server_id, Ms::NEG_INFINITY);
         }
-        // Beyond the limit, this connection was opened to check whether a silent machine is alive, and has
-        // served its purpose: a process that hangs for long would otherwise gather one more connection with
-        // each ping. An older one is closed rather than this one, as a server repeats what may have been lost
-        // on the newest connection.
-        if server.connections.len() > limits::MAX_CONNECTIONS_PER_SERVER && waiting.is_empty() && probes == 0
-        {
-            let idle = server
-                .connections
-                .iter()
-                .filter_map(|other| Some((other, self.server_connections.get(other)?)));
-            let idle = idle.filter(|(other, connection)| {
-                **other != conn
-                    && connection.up
-                    && connection.pending_setups.is_empty()
-                    && connection.pending_options.values().all(|p| *p == OptionsPurpose::Ping)
-            });
-            let oldest =
-                idle.min_by(|(_, a), (_, b)| a.last_used_at.total_cmp(&b.last_used_at)).map(|(c, _)| *c);
-            // Not handled as a lost connection, which would be replaced by another.
-            self.close_working_connection(oldest.unwrap_or(conn), server_id, now);
-            if oldest.is_none() {
-                return;
-            }
+        if waiting.is_empty() && probes == 0 && !self.close_surplus_connection(server_id, conn, now) {
+            return;
         }
         let Some(server) = self.servers.get_mut(&server_id) else { return };
         for (id, message) in std::mem::take(&mut server.unsent) {
@@ -232,6 +260,37 @@
         self.process_engine_actions(now);
     }
 
+    /// Closes the least recently used idle connection to a server if it has more than the limit. Beyond that, a
+    /// connection was opened to check whether a silent machine is alive: a process that hangs for long would otherwise
+    /// gather one more with each ping. An older one is closed rather than `newest`, as a server repeats what may have
+    /// been lost on the newest connection. Returns whether `newest` is still open.
+    fn close_surplus_connection(&mut self, server_id: ServerId, newest: ConnectionId, now: Ms) -> bool {
+        let Some(server) = self.servers.get(&server_id) else { return false };
+        if server.connections.len() <= limits::MAX_CONNECTIONS_PER_SERVER {
+            return true;
+        }
+        let idle = self.connections_of(server).filter(|(conn, c)| {
+            *conn != newest && c.up && c.pending_setups.is_empty() && c.pending_probes() == 0
+        });
+        let oldest = idle.min_by(|(_, a), (_, b)| a.last_used_at.total_cmp(&b.last_used_at));
+        let closed = oldest.map_or(newest, |(conn, _)| conn);
+        // Not handled as a lost connection, which would be replaced by another.
+        self.close_working_connection(closed, server_id, now);
+        closed != newest
+    }
+
+    /// Closes a connection on which nothing comes through. Its server may not notice that, so it is not relied on to
+    /// send releases on another one.
+    pub(super) fn give_up_dead_connection(&mut self, conn: ConnectionId, now: Ms) {
+        let Some(connection) = self.server_connections.get(&conn) else { return };
+        if let Some(server) = self.servers.get_mut(&connection.server) {
+            server.dead_connection_at = now;
+            let line = format!("server {}: connection {} is dead and closed", server.name, conn.0);
+            self.io_actions.push(IoAction::Log(line));
+        }
+        self.close_server_connection(conn, now);
+    }
+
     pub(super) fn close_server_connection(&mut self, conn: ConnectionId, now: Ms) {
         self.io_actions.push(IoAction::Close { conn });
         self.server_connection_closed(conn, ConnectionEnd::Closed, now);
@@ -240,6 +299,7 @@
     pub(super) fn server_connection_closed(&mut self, conn: ConnectionId, end: ConnectionEnd, now: Ms) {
         let Some(connection) = self.server_connections.remove(&conn) else { return };
         let server_id = connection.server;
+        let probes = connection.pending_probes() + connection.queued_probes;
         let Some(server) = self.servers.get_mut(&server_id) else { return };
         server.connections.retain(|c| *c != conn);
         server.last_disconnect_at = now;
@@ -270,6 +330,7 @@
                 self.connect(server_id, now);
             } else if let Some(server) = self.servers.get_mut(&server_id) {
                 let delay = server.retry.next_delay(&mut self.rng);
+                server.retry_at = now + delay;
                 self.schedule(now + delay, TimerEvent::Reconnect { server: server_id });
             }
         }
@@ -282,9 +343,6 @@
             let sent = matches!(self.sessions.get(&id).map(|s| &s.stage), Some(Stage::Pending { setup: Some(setup), .. }) if setup.sent);
             self.setup_ended(id, if connection.up && !sent { SetupOutcome::NeverSent } else { outcome }, now);
         }
-        let probes = connection.pending_options.values().filter(|p| **p == OptionsPurpose::Probe).count()
-            as u32
-            + connection.queued_probes;
         (0..probes).for_each(|_| self.engine.probe_finished(server_id, outcome, now));
     }
 
@@ -329,22 +387,23 @@
         let Some(server) = self.servers.get(&server_id) else {
             return self.setup_ended(id, SetupOutcome::NoConnection, now);
         };
-        let load = |conn: &ConnectionId| {
-            self.server_connections.get(conn).map_or((true, usize::MAX), |c| (!c.up, c.pending_setups.len()))
-        };
         // Not a connection on which an earlier SETUP of this session was cancelled: the answer to that one
         // may still come and would be taken for this one's.
         let first_attempt = session.setup_count == 0;
-        let usable = |conn: &ConnectionId| {
-            first_attempt || self.server_connections.get(conn).is_none_or(|c| !c.ended_setups.contains(&id))
-        };
-        let best = server.connections.iter().copied().filter(usable).min_by_key(load);
-        let free = best.filter(|c| load(c).1 == 0);
+        let usable =
+            self.connections_of(server).filter(|(_, c)| first_attempt || !c.ended_setups.contains(&id));
+        let best = usable.map(|(conn, c)| (c.load(now), conn)).min();
+        let free = best.filter(|(load, _)| !load.in_doubt && load.pending_setups == 0);
         let may_connect = best.is_none()
             || server.connections.len() < limits::MAX_CONNECTIONS_PER_SERVER
                 && self.server_connections.len() < self.max_server_connections;
-        let Some(conn) = free.or_else(|| if may_connect { self.connect(server_id, now) } else { best })
-        else {
+        let Some(conn) = free.map(|(_, conn)| conn).or_else(|| {
+            if may_connect {
+                self.connect(server_id, now)
+            } else {
+                best.map(|(_, conn)| conn)
+            }
+        }) else {
             // This node is at its limit of connections, which is no failure of the server.
             return self.setup_ended(id, SetupOutcome::NeverSent, now);
         };
@@ -404,7 +463,10 @@
             return None;
         }
         setup.sent = true;
-        self.server_connections.get_mut(&setup.conn).into_iter().for_each(|c| c.last_used_at = now);
+        if let Some(connection) = self.server_connections.get_mut(&setup.conn) {
+            connection.last_used_at = now;
+            connection.liveness.request_sent(now);
+        }
         Some(server::setup_request(request, rung, session.setup_deadline - now))
     }
 
@@ -448,16 +510,15 @@
         message: SessionMessage,
         now: Ms,
     ) {
-        let Some(server) = self.servers.get_mut(&server_id) else { return };
-        let up = server
-            .connections
-            .iter()
-            .find(|other| self.server_connections.get(other).is_some_and(|c| c.up))
-            .copied();
-        match up {
+        let Some(server) = self.servers.get(&server_id) else { return };
+        let up = self.connections_of(server).filter(|(_, c)| c.up);
+        let best = up.min_by_key(|(_, c)| c.liveness.is_in_doubt(now));
+        match best.map(|(conn, _)| conn) {
             Some(conn) => self.write_to_server(conn, id, message, now),
             None => {
-                server.unsent.insert(id, message);
+                if let Some(server) = self.servers.get_mut(&server_id) {
+                    server.unsent.insert(id, message);
+                }
                 self.ensure_connection(server_id, now);
             }
         }
@@ -492,11 +553,9 @@
     /// Sends a probe, or queues it on a connection that is being opened.
     pub(super) fn probe(&mut self, server_id: ServerId, now: Ms) {
         let Some(server) = self.servers.get(&server_id) else { return };
-        let load = |conn: &ConnectionId| {
-            self.server_connections.get(conn).map_or((true, usize::MAX), |c| (!c.up, c.pending_setups.len()))
-        };
-        let conn = match server.connections.iter().copied().min_by_key(load) {
-            Some(conn) => Some(conn),
+        let best = self.connections_of(server).map(|(conn, c)| (c.load(now), conn)).min();
+        let conn = match best {
+            Some((_, conn)) => Some(conn),
             None => self.connect(server_id, now),
         };
         let Some((conn, connection)) = conn.and_then(|c| Some((c, self.server_connections.get_mut(&c)?)))
@@ -513,7 +572,8 @@
     pub(super) fn send_options(&mut self, conn: ConnectionId, purpose: OptionsPurpose, now: Ms) {
         let id = self.rng.u64(..);
         let Some(connection) = self.server_connections.get_mut(&conn) else { return };
-        connection.pending_options.insert(id, purpose);
+        connection.pending_options.insert(id, PendingOptions { purpose, sent_at: now });
+        connection.liveness.request_sent(now);
         let (timeout, bytes) = match purpose {
             OptionsPurpose::Probe => (self.configuration.probe_timeout_ms, server::load_probe_request(id)),
             OptionsPurpose::Ping => (limits::PING_TIMEOUT, server::ping_request(id)),
@@ -527,17 +587,16 @@
     pub(super) fn options_timed_out(&mut self, conn: ConnectionId, id: u64, now: Ms) {
         let Some(connection) = self.server_connections.get_mut(&conn) else { return };
         let server_id = connection.server;
-        match connection.pending_options.remove(&id) {
-            Some(OptionsPurpose::Probe) => self.engine.probe_finished(server_id, SetupOutcome::TimedOut, now),
-            Some(OptionsPurpose::Ping)
-                if self
-                    .servers
-                    .get(&server_id)
-                    .is_some_and(|s| now - s.last_seen_at > limits::PING_AFTER_SILENCE) =>
-            {
-                self.connect(server_id, now);
-            }
-            _ => {}
+        let Some(options) = connection.pending_options.remove(&id) else { return };
+        if options.purpose == OptionsPurpose::Probe {
+            return self.engine.probe_finished(server_id, SetupOutcome::TimedOut, now);
+        }
+        connection.liveness.ping_timed_out(options.sent_at, now);
+        let Some(server) = self.servers.get(&server_id) else { return };
+        let silent = now - server.last_seen_at > limits::PING_AFTER_SILENCE;
+        let latest = server.connections.iter().max() == Some(&conn);
+        if silent && latest {
+            self.connect(server_id, now);
         }
     }
 }
--- a/crates/node/src/core/server_messages.rs
+++ b/crates/node/src/core/server_messages.rs
@@ -1,4 +1,5 @@
 //! Messages from servers: answers to set-ups and probes, ends of sessions, and load reports.
+use super::liveness::Liveness;
 use super::server_connections::{OptionsPurpose, SessionMessage};
 use super::{Node, Session, Stage};
 use crate::actions::{ConnectionId, IoAction};
@@ -16,6 +17,7 @@
         let server_id = connection.server;
         connection.reader.push(bytes);
         connection.last_used_at = now;
+        connection.liveness = Liveness::alive();
         let opened_at = connection.opened_at;
         if let Some(s) = self.servers.get_mut(&server_id) {
             (s.last_seen_at, s.last_message_at, s.process_known_since) = (now, now, opened_at);
@@ -62,10 +64,10 @@
                 self.handle_setup_response(conn, server_id, SessionId(id), status, &description, now);
             }
             ServerMessage::OptionsResponse { id, status, report } => {
-                let purpose =
+                let options =
                     self.server_connections.get_mut(&conn).and_then(|c| c.pending_options.remove(&id));
                 self.record_report(server_id, &report, now);
-                if purpose == Some(OptionsPurpose::Probe) {
+                if options.is_some_and(|o| o.purpose == OptionsPurpose::Probe) {
                     let outcome = if status < 300 { SetupOutcome::Done } else { SetupOutcome::Errored };
                     self.engine.probe_finished(server_id, outcome, now);
                 }
@@ -161,7 +163,12 @@
         }
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let Stage::Pending { viewer_conn, .. } = session.stage else { return };
-        session.stage = Stage::Playing { viewer_conn: Some(viewer_conn), server: server_id, since: now };
+        session.stage = Stage::Playing {
+            viewer_conn: Some(viewer_conn),
+            server: server_id,
+            server_conn: Some(conn),
+            since: now,
+        };
         let (age, setups) = (now - session.taken_at, session.setup_count);
         self.request_counts.answered += 1;
         if let Some(s) = self.servers.get_mut(&server_id) {
--- a/crates/node/src/core/viewer_connections.rs
+++ b/crates/node/src/core/viewer_connections.rs
@@ -309,7 +309,8 @@
             };
         }
         server.sessions.insert(id);
-        let stage = Stage::Playing { viewer_conn: Some(conn), server: server_id, since: now };
+        let stage =
+            Stage::Playing { viewer_conn: Some(conn), server: server_id, server_conn: None, since: now };
         self.sessions.insert(id, Session { stage, taken_at: now, setup_count: 0, setup_deadline: now });
         self.engine.add_running_session(id, request, server_id, now);
         if let Some(rung) = self.early_rungs.remove(&id) {
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -39,6 +39,15 @@
 /// after it and two sweeps, 6 s pass. Pings are priced as probes and every node sends its own: with a shorter
 /// time, they were six of seven probes of the fleet.
 pub const PING_AFTER_SILENCE: Ms = 4_000.0;
+/// Time without any input after a request, after which other connections to the server are preferred.
+pub const DOUBT_AFTER: Ms = 1_200.0;
+/// Time without any input after a request, after which a ping finds out whether the connection still works. SETUPs are
+/// given up by then.
+pub const PING_IN_DOUBT_AFTER: Ms = 3_000.0;
+/// Longest interval between two new connections to a server that may not have noticed the end of an earlier one. It sends
+/// releases on that one and repeats them on the next new one, and viewers have to get them within 8 s of the
+/// session's end.
+pub const MAX_RELEASE_REPEAT_INTERVAL: Ms = 6_000.0;
 /// Time-out of a ping. A new connection is then opened; if that fails too, the machine is taken for gone.
 pub const PING_TIMEOUT: Ms = 1_200.0;
 /// Shortest time in which a server's process can be replaced: a server that accepts a connection sooner than
--- /dev/null
+++ b/crates/node/tests/liveness.rs
@@ -0,0 +1,61 @@
+//! Each connection to a server is judged by what comes in on it.
+#[allow(dead_code)]
+mod support;
+
+use support::{release_request, setup_request, setup_response, Harness};
+use walnutline_node::actions::ConnectionId;
+use walnutline_node::limits;
+
+/// A release has to reach its viewer within 8 s of the session's end.
+const RELEASE_LIMIT: f64 = 8_000.0;
+
+/// A session request that only one server can take.
+fn request_for_one_server(id: u64) -> String {
+    setup_request(id, "").replace("copies:2", "copies:1")
+}
+
+/// Starts two sessions on one server, each over a connection of its own, and asks for another one on each of these. The
+/// one on the second connection, session 4, gets no answer. Returns the viewer and the two connections.
+fn lose_an_answer_on_the_second_of_two_connections(
+    harness: &mut Harness,
+) -> (ConnectionId, ConnectionId, ConnectionId) {
+    let viewer = harness.accept_viewer();
+    let mut connections = Vec::new();
+    for ids in [[1, 2], [3, 4]] {
+        for id in ids {
+            harness.receive(viewer, &request_for_one_server(id));
+            connections.push(harness.await_setup(id).0);
+        }
+        for (id, conn) in ids.into_iter().zip(connections.clone()).take(if ids[0] == 3 { 1 } else { 2 }) {
+            harness.receive(conn, &setup_response(200, id, ""));
+        }
+    }
+    let [first, second] = connections[..2] else { panic!("{connections:?}") };
+    assert_eq!((first != second, &connections[2..]), (true, &connections[..2]));
+    (viewer, first, second)
+}
+
+/// Guards against a release that is never heard: an answer does not come, its connection stays open and dead, and
+/// traffic on another one hides that. The server sends releases on the dead one and repeats them on the next one that
+/// is opened, until it closes the dead one as idle.
+#[test]
+fn dead_connection_is_replaced_while_another_one_has_traffic() {
+    let mut harness = Harness::new();
+    let (viewer, first, dead) = lose_an_answer_on_the_second_of_two_connections(&mut harness);
+    let address = harness.server_connections[&first];
+    let mut last_opened_at = harness.now;
+    harness.connect_times.clear();
+    for id in 100..150 {
+        harness.receive(viewer, &request_for_one_server(id));
+        harness.serve(700.0, &[dead]);
+        let newest = harness.connect_times.iter().filter(|(.., to)| *to == address).next_back();
+        last_opened_at = newest.map_or(last_opened_at, |(at, ..)| *at);
+        assert!(harness.now - last_opened_at <= RELEASE_LIMIT, "{:?}", harness.connect_times);
+    }
+    assert!(!harness.server_connections.contains_key(&dead));
+    let open = harness.server_connections.values().filter(|to| **to == address).count();
+    assert!(open <= limits::MAX_CONNECTIONS_PER_SERVER, "{open} connections");
+    let newest = harness.connect_times.last().unwrap().1;
+    harness.receive(newest, &release_request(2, 16));
+    assert_eq!(harness.take_written("cause=16").unwrap().0, viewer);
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -16,6 +16,8 @@
     pub now: f64,
     /// Connections to servers, established or being opened.
     pub server_connections: BTreeMap<ConnectionId, SocketAddr>,
+    /// All connections to servers that were requested, with the time.
+    pub connect_times: Vec<(f64, ConnectionId, SocketAddr)>,
     /// Connections that the test has to establish or end, requested while `connect_at_once` was off.
     pub connecting: Vec<ConnectionId>,
     /// Messages written on connections, oldest first.
@@ -48,6 +50,7 @@
             node,
             now,
             server_connections: BTreeMap::new(),
+            connect_times: Vec::new(),
             connecting: Vec::new(),
             written: Vec::new(),
             closed: Vec::new(),
@@ -77,6 +80,7 @@
                 match action {
                     IoAction::Connect { conn, address } => {
                         self.server_connections.insert(conn, address);
+                        self.connect_times.push((self.now, conn, address));
                         if self.connect_at_once {
                             self.node.server_connected(conn, self.now);
                         } else {
@@ -167,9 +171,27 @@
     /// Answers all open probes.
     pub fn answer_probes(&mut self) {
         while let Some((conn, probe)) = self.take_written("rtsp://media/load") {
-            let session_header = probe.lines().find(|l| l.starts_with("Session")).unwrap();
-            let report = "X-Circuits: inflight:1;x0:0.2\r\nContent-Length: 0\r\n\r\n";
-            self.receive(conn, &format!("RTSP/1.0 200 OK\r\nCSeq: 3\r\n{session_header}\r\n{report}"));
+            self.receive(conn, &options_response(&probe));
+        }
+    }
+
+    /// Advances the time. Servers answer all SETUPs, probes and pings within 20 ms, except on `dead` connections.
+    pub fn serve(&mut self, ms: f64, dead: &[ConnectionId]) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.advance(20.0_f64.min(end - self.now));
+            for (conn, request) in std::mem::take(&mut self.written) {
+                let session = request.lines().find_map(|l| l.strip_prefix("Session: ")).unwrap_or("");
+                let id = u64::from_str_radix(session, 16);
+                if dead.contains(&conn) {
+                    continue;
+                }
+                if request.starts_with("OPTIONS") {
+                    self.receive(conn, &options_response(&request));
+                } else if let (true, Ok(id)) = (request.starts_with("SETUP"), id) {
+                    self.receive(conn, &setup_response(200, id, ""));
+                }
+            }
         }
     }
 
@@ -199,6 +221,13 @@
     }
 }
 
+/// A server's answer to a probe or ping.
+pub fn options_response(request: &str) -> String {
+    let session_header = request.lines().find(|l| l.starts_with("Session")).unwrap();
+    let report = "X-Circuits: inflight:1;x0:0.2\r\nContent-Length: 0\r\n\r\n";
+    format!("RTSP/1.0 200 OK\r\nCSeq: 3\r\n{session_header}\r\n{report}")
+}
+
 /// The SETUP of a viewer.
 pub fn setup_request(id: u64, body: &str) -> String {
     format!("SETUP rtsp://media/7f3a9c21e0b4d655 RTSP/1.0\r\nCSeq: 1\r\nSession: {id:016x}\r\nX-Call-Class: board-loop\r\n\
