--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -1,6 +1,7 @@
 //! Tests of a node's core, without sockets and with simulated time.
 #[path = "../../platform/tests/support/dns.rs"]
 mod dns;
+#[allow(dead_code)]
 mod support;
 
 use proptest::prelude::*;
