--- a/crates/node/tests/liveness.rs
+++ b/crates/node/tests/liveness.rs
@@ -48,7 +48,7 @@
     for id in 100..150 {
         harness.receive(viewer, &request_for_one_server(id));
         harness.serve(700.0, &[dead]);
-        let newest = harness.connect_times.iter().filter(|(.., to)| *to == address).next_back();
+        let newest = harness.connect_times.iter().rfind(|(.., to)| *to == address);
         last_opened_at = newest.map_or(last_opened_at, |(at, ..)| *at);
         assert!(harness.now - last_opened_at <= RELEASE_LIMIT, "{:?}", harness.connect_times);
     }
