node: a server's word to other nodes says nothing of this node's connections

Cause: reports of other nodes moved Server::last_seen_at, by which alone pings were decided; a failed ping opened no connection either while others heard the server. Fix: a new connection to a server with sessions after 6 s without input on any own one, in place of those opened for that alone; the server repeats releases on it.

--- a/crates/node/src/core/liveness.rs
+++ b/crates/node/src/core/liveness.rs
@@ -5,6 +5,8 @@
 
 /// Liveness of one open connection.
 pub(super) struct Liveness {
+    /// When anything last came in.
+    heard_at: Option<Ms>,
     /// When the earliest request was sent since anything last came in.
     unanswered_since: Option<Ms>,
     failed_ping: Option<FailedPing>,
@@ -18,9 +20,19 @@
 }
 
 impl Liveness {
-    /// A connection that has just been opened, or on which something has just come in.
-    pub fn alive() -> Self {
-        Liveness { unanswered_since: None, failed_ping: None }
+    /// A connection on which nothing has come in yet.
+    pub fn new() -> Self {
+        Liveness { heard_at: None, unanswered_since: None, failed_ping: None }
+    }
+
+    /// Records that something came in.
+    pub fn heard(&mut self, now: Ms) {
+        *self = Liveness { heard_at: Some(now), ..Liveness::new() };
+    }
+
+    /// When anything last came in.
+    pub fn heard_at(&self) -> Option<Ms> {
+        self.heard_at
     }
 
     /// Records that a request was sent that wants an answer.
@@ -40,6 +52,11 @@
         self.unanswered_since.is_some_and(|since| now - since >= limits::DOUBT_AFTER)
     }
 
+    /// When a ping failed, if nothing has come in since.
+    pub fn failed_ping_at(&self) -> Option<Ms> {
+        self.failed_ping.as_ref().map(|ping| ping.failed_at)
+    }
+
     /// Whether a ping has failed and nothing has come in since.
     pub fn has_failed_ping(&self) -> bool {
         self.failed_ping.is_some()
--- a/crates/node/src/core/maintenance.rs
+++ b/crates/node/src/core/maintenance.rs
@@ -130,21 +130,31 @@
         dead.into_iter().for_each(|conn| self.give_up_dead_connection(conn, now));
     }
 
-    /// Whether a connection is to be opened now, for what the server reports on it.
+    /// Whether a connection is to be opened now, for what the server reports on it: it repeats the ends of sessions on
+    /// the next connection that is opened, and viewers have to be told of them in time.
     fn needs_new_connection(&self, server: &Server, now: Ms) -> bool {
-        // A server reports the ends of sessions on the next connection that is opened, and viewers have to be told
-        // of them in time.
+        if server.list_state == ServerState::Gone || !server.needs_connection() {
+            return false;
+        }
         if server.connections.is_empty() {
-            return server.list_state != ServerState::Gone
-                && server.needs_connection()
-                && now - server.closed_for_room_at >= limits::MAX_TIME_WITHOUT_CONNECTION;
+            return now - server.closed_for_room_at >= limits::MAX_TIME_WITHOUT_CONNECTION;
+        }
+        let opening = self.connections_of(server).any(|(_, c)| !c.up);
+        if opening || now < server.retry_at {
+            return false;
         }
+        // The server may have forgotten connections that have been idle. Pings would show that too, but they cost as
+        // much as probes.
+        let heard_at = self.connections_of(server).map(|(_, c)| c.heard_at()).fold(Ms::NEG_INFINITY, Ms::max);
+        let idle = now - heard_at >= limits::MAX_IDLE_WITH_SESSIONS;
+        idle || self.release_repeat_is_due(server, now)
+    }
+
+    /// Whether a new connection is due for releases that may be lost on a dead one.
+    fn release_repeat_is_due(&self, server: &Server, now: Ms) -> bool {
         let due = server.last_connected_at <= server.dead_connection_at
             || now - server.last_connected_at >= limits::MAX_RELEASE_REPEAT_INTERVAL;
-        due && server.list_state != ServerState::Gone
-            && now >= server.retry_at
-            && self.connections_of(server).all(|(_, c)| c.up)
-            && self.may_lose_releases(server, now)
+        due && self.may_lose_releases(server, now)
     }
 
     /// Whether releases may be lost on a dead connection that the server takes for open: it sends them on the
@@ -209,14 +219,17 @@
     }
 
     /// The connections to a server in use that may not work: those on which requests stay unanswered, and the latest
-    /// one if the server has been silent everywhere.
+    /// one if nothing has come in for long, or if it has to show that an earlier one is dead.
     fn connections_to_ping(&self, server: &Server, now: Ms) -> Vec<ConnectionId> {
         let up: Vec<_> = self.connections_of(server).filter(|(_, c)| c.up).collect();
         let in_doubt = up.iter().filter(|(_, c)| c.liveness.wants_ping(now)).map(|(conn, _)| *conn);
         let mut ping: Vec<ConnectionId> = in_doubt.collect();
-        if now - server.last_seen_at >= limits::PING_AFTER_SILENCE {
-            let latest = up.iter().max_by_key(|(conn, c)| (!c.liveness.has_failed_ping(), *conn));
-            ping.extend(latest.map(|(conn, _)| *conn).filter(|conn| !ping.contains(conn)));
+        let silent = now - server.last_seen_at >= limits::PING_AFTER_SILENCE;
+        let failed_at = up.iter().filter_map(|(_, c)| c.liveness.failed_ping_at()).max_by(Ms::total_cmp);
+        let unproven = failed_at.is_some_and(|failed_at| server.last_message_at <= failed_at);
+        let latest = up.iter().max_by_key(|(conn, c)| (!c.liveness.has_failed_ping(), *conn));
+        if let Some((conn, _)) = latest.filter(|(conn, _)| (silent || unproven) && !ping.contains(conn)) {
+            ping.push(*conn);
         }
         ping.retain(|conn| !self.server_connections[conn].awaits_ping());
         ping
--- a/crates/node/src/core/server_connections.rs
+++ b/crates/node/src/core/server_connections.rs
@@ -118,6 +118,11 @@
 }
 
 impl ServerConnection {
+    /// When anything last came in, or when the connection was opened.
+    pub fn heard_at(&self) -> Ms {
+        self.liveness.heard_at().unwrap_or(self.opened_at)
+    }
+
     /// Number of probes that were sent and not answered.
     fn pending_probes(&self) -> u32 {
         self.pending_options.values().filter(|p| p.purpose == OptionsPurpose::Probe).count() as u32
@@ -174,7 +179,7 @@
             queued_probes: 0,
             ended_setups: VecDeque::new(),
             unconfirmed_releases: VecDeque::new(),
-            liveness: Liveness::alive(),
+            liveness: Liveness::new(),
             opened_at: now,
             last_used_at: now,
         };
@@ -592,10 +597,11 @@
             return self.engine.probe_finished(server_id, SetupOutcome::TimedOut, now);
         }
         connection.liveness.ping_timed_out(options.sent_at, now);
+        let failed = connection.liveness.has_failed_ping();
         let Some(server) = self.servers.get(&server_id) else { return };
-        let silent = now - server.last_seen_at > limits::PING_AFTER_SILENCE;
+        let heard_elsewhere = server.last_message_at > options.sent_at;
         let latest = server.connections.iter().max() == Some(&conn);
-        if silent && latest {
+        if failed && latest && !heard_elsewhere {
             self.connect(server_id, now);
         }
     }
--- a/crates/node/src/core/server_messages.rs
+++ b/crates/node/src/core/server_messages.rs
@@ -1,5 +1,4 @@
 //! Messages from servers: answers to set-ups and probes, ends of sessions, and load reports.
-use super::liveness::Liveness;
 use super::server_connections::{OptionsPurpose, SessionMessage};
 use super::{Node, Session, Stage};
 use crate::actions::{ConnectionId, IoAction};
@@ -17,7 +16,7 @@
         let server_id = connection.server;
         connection.reader.push(bytes);
         connection.last_used_at = now;
-        connection.liveness = Liveness::alive();
+        connection.liveness.heard(now);
         let opened_at = connection.opened_at;
         if let Some(s) = self.servers.get_mut(&server_id) {
             (s.last_seen_at, s.last_message_at, s.process_known_since) = (now, now, opened_at);
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -48,6 +48,9 @@
 /// releases on that one and repeats them on the next new one, and viewers have to get them within 8 s of the
 /// session's end.
 pub const MAX_RELEASE_REPEAT_INTERVAL: Ms = 6_000.0;
+/// Time without input on any connection to a server with sessions, after which a new one is opened: the server may have
+/// forgotten those that there are. Viewers have to get the release of a session within 8 s of its end.
+pub const MAX_IDLE_WITH_SESSIONS: Ms = 6_000.0;
 /// Time-out of a ping. A new connection is then opened; if that fails too, the machine is taken for gone.
 pub const PING_TIMEOUT: Ms = 1_200.0;
 /// Shortest time in which a server's process can be replaced: a server that accepts a connection sooner than
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -6,7 +6,10 @@
 
 use proptest::prelude::*;
 use std::collections::BTreeMap;
-use support::{release_request, setup_request, setup_response, withdrawal, Harness, CONFIGURATION};
+use support::{
+    configuration_with_peers, release_request, server_status, setup_request, setup_response, withdrawal,
+    Harness, CONFIGURATION, PEER,
+};
 use test_case::test_case;
 use walnutline_node::actions::{ConnectionEnd, ConnectionId};
 use walnutline_node::limits;
@@ -328,16 +331,6 @@
     assert!(!presumed_dead(&mut harness), "no process restarts at once");
 }
 
-const PEER: &str = "127.0.0.3:7946";
-
-/// A configuration with the peer [`PEER`].
-fn with_peers() -> String {
-    let peer_settings = format!("\"peer_listen\":\"127.0.0.1:7946\",\"peers\":[\"{PEER}\"],\"peers_all\":\"127.0.0.9:7946\",\"names\":");
-    CONFIGURATION
-        .replace("\"names\":", &peer_settings)
-        .replace("\"probes\":true", "\"probes\":true,\"peer_messages\":true")
-}
-
 /// The budget of a cold server is divided by the number of nodes. Guards against too large a share where the
 /// settings state fewer nodes than there are peers, or none.
 #[test]
@@ -345,8 +338,8 @@
     let front_count =
         |document: &str| Harness::with_configuration(document).node.engine.state.settings.front_count;
     let peers: Vec<String> = (1..=30).map(|n| format!("\"127.0.0.{n}:7946\"")).collect();
-    let with_30_peers = with_peers().replace(&format!("\"{PEER}\""), &peers.join(","));
-    assert_eq!((front_count(CONFIGURATION), front_count(&with_peers())), (2, 2));
+    let with_30_peers = configuration_with_peers().replace(&format!("\"{PEER}\""), &peers.join(","));
+    assert_eq!((front_count(CONFIGURATION), front_count(&configuration_with_peers())), (2, 2));
     assert_eq!(front_count(&with_30_peers), 30);
     assert_eq!(front_count(&with_30_peers.replace("\"balancers\":2,", "")), 30);
     assert_eq!(front_count(&with_30_peers.replace("\"balancers\":2,", "\"balancers\":40,")), 40);
@@ -355,21 +348,14 @@
 /// Guards against taking a new, cold process for the old one because it has already answered another node.
 #[test]
 fn peer_report_does_not_prove_a_server_alive() {
-    use walnutline_platform::peers::{encode, hash_server_name, ServerStatus};
-    let mut harness = Harness::with_configuration(&with_peers());
+    use walnutline_platform::peers::encode;
+    let mut harness = Harness::with_configuration(&configuration_with_peers());
     let (_, server) = harness.start_session(1);
     harness.connect_at_once = false;
     let id = *harness.node.engine.state.fleet.servers.keys().next().unwrap();
     harness.advance(limits::MIN_PROCESS_RESTART_TIME * 1.5);
     harness.close(server, ConnectionEnd::Closed);
     harness.node.engine.state.fleet.servers.get_mut(&id).unwrap().died_at = Some(harness.now);
-    let server_status = |server| ServerStatus {
-        name_hash: hash_server_name(server),
-        age_ms: 20.0,
-        stream_share: 0.5,
-        link_use: 0.44,
-        known_uptime_ms: 0.0,
-    };
     harness.advance(50.0);
     harness.node.peer_datagram(
         PEER.parse().unwrap(),
@@ -385,19 +371,12 @@
 /// Guards against 300 nodes pinging each server every 2 s: ten pings for each probe under low load.
 #[test]
 fn server_reported_by_a_peer_is_not_pinged() {
-    use walnutline_platform::peers::{encode, hash_server_name, ServerStatus};
+    use walnutline_platform::peers::encode;
     let (peer, stranger) = (PEER.parse().unwrap(), "127.0.0.4:7946".parse().unwrap());
-    let server_status = |server| ServerStatus {
-        name_hash: hash_server_name(server),
-        age_ms: 20.0,
-        stream_share: 0.5,
-        link_use: 0.44,
-        known_uptime_ms: 0.0,
-    };
     let datagram =
         encode(&[server_status("s-00000001"), server_status("s-00000002"), server_status("nobody")]);
     for (from, pinged) in [(peer, false), (stranger, true)] {
-        let mut harness = Harness::with_configuration(&with_peers());
+        let mut harness = Harness::with_configuration(&configuration_with_peers());
         harness.start_session(1);
         harness.written.clear();
         for _ in 0..8 {
--- a/crates/node/tests/liveness.rs
+++ b/crates/node/tests/liveness.rs
@@ -2,7 +2,9 @@
 #[allow(dead_code)]
 mod support;
 
-use support::{release_request, setup_request, setup_response, Harness};
+use support::{
+    configuration_with_peers, release_request, report_servers, setup_request, setup_response, Harness,
+};
 use walnutline_node::actions::ConnectionId;
 use walnutline_node::limits;
 
@@ -59,3 +61,24 @@
     harness.receive(newest, &release_request(2, 16));
     assert_eq!(harness.take_written("cause=16").unwrap().0, viewer);
 }
+
+/// Guards against a release that is never heard: a server forgets the one connection that this node has to it, while
+/// it is idle. What it answers to other nodes says nothing of that connection.
+#[test]
+fn idle_connection_is_tested_whatever_other_nodes_report() {
+    let mut harness = Harness::with_configuration(&configuration_with_peers());
+    let viewer = harness.accept_viewer();
+    harness.receive(viewer, &request_for_one_server(1));
+    let (forgotten, _) = harness.await_setup(1);
+    harness.receive(forgotten, &setup_response(200, 1, ""));
+    let ended_at = harness.now;
+    harness.connect_times.clear();
+    while harness.connect_times.is_empty() && harness.now - ended_at <= RELEASE_LIMIT {
+        harness.serve(100.0, &[forgotten]);
+        report_servers(&mut harness);
+    }
+    let (opened_at, newest, _) = *harness.connect_times.first().expect("a new connection");
+    assert!(opened_at - ended_at <= RELEASE_LIMIT, "{} ms", opened_at - ended_at);
+    harness.receive(newest, &release_request(1, 16));
+    assert_eq!(harness.take_written("cause=16").unwrap().0, viewer);
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -5,6 +5,7 @@
 use walnutline_node::actions::{ConnectionEnd, ConnectionId, IoAction};
 use walnutline_node::core::Node;
 use walnutline_platform::configuration;
+use walnutline_platform::peers::{encode, hash_server_name, ServerStatus};
 
 /// A configuration with two servers.
 pub const CONFIGURATION: &str = include_str!("../../../platform/tests/node.json");
@@ -253,3 +254,32 @@
 pub fn withdrawal(id: u64) -> String {
     format!("TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: {id:016x}\r\nContent-Length: 0\r\n\r\n")
 }
+
+/// Address of another front node, from which datagrams are accepted.
+pub const PEER: &str = "127.0.0.3:7946";
+
+/// The configuration with the other front node [`PEER`].
+pub fn configuration_with_peers() -> String {
+    let peer_settings = format!("\"peer_listen\":\"127.0.0.1:7946\",\"peers\":[\"{PEER}\"],\"peers_all\":\"127.0.0.9:7946\",\"names\":");
+    CONFIGURATION
+        .replace("\"names\":", &peer_settings)
+        .replace("\"probes\":true", "\"probes\":true,\"peer_messages\":true")
+}
+
+/// Another front node's report that a server has just answered it.
+pub fn server_status(server: &str) -> ServerStatus {
+    ServerStatus {
+        name_hash: hash_server_name(server),
+        age_ms: 20.0,
+        stream_share: 0.5,
+        link_use: 0.44,
+        known_uptime_ms: 0.0,
+    }
+}
+
+/// Passes on another front node's report that both servers have just answered it.
+pub fn report_servers(harness: &mut Harness) {
+    let statuses = [server_status("s-00000001"), server_status("s-00000002")];
+    harness.node.peer_datagram(PEER.parse().unwrap(), &encode(&statuses), harness.now);
+    harness.perform_actions();
+}
