node: a lost connection is tried again until one is up, whatever others are open

Cause: the reconnect timer opens a connection only where there is none at all, but a server repeats releases only on a new one. Evidence: tests/liveness.rs, one attempt in 4 s and none after it (failed before); the server's record shows no further connection.

--- a/crates/node/src/core/maintenance.rs
+++ b/crates/node/src/core/maintenance.rs
@@ -147,7 +147,7 @@
         // much as probes.
         let heard_at = self.connections_of(server).map(|(_, c)| c.heard_at()).fold(Ms::NEG_INFINITY, Ms::max);
         let idle = now - heard_at >= limits::MAX_IDLE_WITH_SESSIONS;
-        idle || self.release_repeat_is_due(server, now)
+        idle || server.lost_connection || self.release_repeat_is_due(server, now)
     }
 
     /// Whether a new connection is due for releases that may be lost on a dead one.
--- a/crates/node/src/core/server_connections.rs
+++ b/crates/node/src/core/server_connections.rs
@@ -36,6 +36,9 @@
     pub last_disconnect_at: Ms,
     /// When a connection to it was last opened.
     pub last_connected_at: Ms,
+    /// An open connection was lost since one was last opened: what the server sent on it may be lost, and it repeats
+    /// that on the next one only.
+    pub lost_connection: bool,
     /// When a connection was last given up on which nothing came through: the server may take it for open, and may
     /// send releases on it of sessions that began before.
     pub dead_connection_at: Ms,
@@ -247,6 +250,7 @@
         let Some(server) = self.servers.get_mut(&server_id) else { return };
         server.connect_failures = 0;
         server.last_connected_at = now;
+        server.lost_connection = false;
         server.retry.reset();
         // The process can't have been replaced since its last message: earlier connections were reset, but it
         // is alive. A message to another node may have come from a new process already, so it doesn't count.
@@ -308,6 +312,7 @@
         let Some(server) = self.servers.get_mut(&server_id) else { return };
         server.connections.retain(|c| *c != conn);
         server.last_disconnect_at = now;
+        server.lost_connection |= connection.up;
         if !connection.up && end != ConnectionEnd::Unopened {
             server.connect_failures += 1;
         }
--- a/crates/node/src/core/server_list.rs
+++ b/crates/node/src/core/server_list.rs
@@ -204,6 +204,7 @@
             process_known_since: now,
             last_disconnect_at: Ms::NEG_INFINITY,
             last_connected_at: Ms::NEG_INFINITY,
+            lost_connection: false,
             dead_connection_at: Ms::NEG_INFINITY,
             retry_at: Ms::NEG_INFINITY,
             closed_for_room_at: Ms::NEG_INFINITY,
--- a/crates/node/tests/liveness.rs
+++ b/crates/node/tests/liveness.rs
@@ -5,7 +5,7 @@
 use support::{
     configuration_with_peers, release_request, report_servers, setup_request, setup_response, Harness,
 };
-use walnutline_node::actions::ConnectionId;
+use walnutline_node::actions::{ConnectionEnd, ConnectionId};
 use walnutline_node::limits;
 
 /// A release has to reach its viewer within 8 s of the session's end.
@@ -82,3 +82,32 @@
     harness.receive(newest, &release_request(1, 16));
     assert_eq!(harness.take_written("cause=16").unwrap().0, viewer);
 }
+
+/// Guards against a release that is never heard: a connection is reset, and the one that is to take its place comes up
+/// too late. That another connection has traffic is no reason to leave it at that.
+#[test]
+fn failed_reconnect_is_tried_again_while_another_connection_has_traffic() {
+    let mut harness = Harness::new();
+    let (viewer, first, second) = lose_an_answer_on_the_second_of_two_connections(&mut harness);
+    let address = harness.server_connections[&first];
+    harness.connect_times.clear();
+    harness.connect_at_once = false;
+    harness.close(second, ConnectionEnd::Closed);
+    let lost_at = harness.now;
+    for id in 100..108 {
+        harness.receive(viewer, &request_for_one_server(id));
+        harness.serve(500.0, &[]);
+    }
+    let to_server = harness.connect_times.iter().filter(|(.., to)| *to == address);
+    assert!(to_server.clone().count() > 1, "{:?}", harness.connect_times);
+    assert!(to_server.clone().count() < 20, "{:?}", harness.connect_times);
+    while harness.connecting.is_empty() && harness.now - lost_at <= RELEASE_LIMIT {
+        harness.serve(20.0, &[]);
+    }
+    let newest = *harness.connecting.last().expect("a connection being opened");
+    harness.node.server_connected(newest, harness.now);
+    harness.perform_actions();
+    assert!(harness.now - lost_at <= RELEASE_LIMIT);
+    harness.receive(newest, &release_request(2, 16));
+    assert_eq!(harness.take_written("cause=16").unwrap().0, viewer);
+}
