node: an address used again says nothing of the server that left the list

Cause: a lost connection or a failed ping opened a new one to a server that had left the list while another connection was open; what the new server answered there was taken for a sign of life, and sessions ended only with the last connection. Fix: no connection is opened to a server that has left the list; each of its connections is tested by itself, and sessions end unless a connection is left that was opened before they began.

--- a/crates/node/src/core/maintenance.rs
+++ b/crates/node/src/core/maintenance.rs
@@ -218,12 +218,15 @@
         idle.map(|(_, (conn, _))| conn)
     }
 
-    /// The connections to a server in use that may not work: those on which requests stay unanswered, and the latest
-    /// one if nothing has come in for long, or if it has to show that an earlier one is dead.
+    /// The connections to a server in use that may not work: those on which requests stay unanswered, all silent ones
+    /// if they can't be replaced, and the latest one if nothing has come in for long, or if it has to show that an earlier one is dead.
     fn connections_to_ping(&self, server: &Server, now: Ms) -> Vec<ConnectionId> {
         let up: Vec<_> = self.connections_of(server).filter(|(_, c)| c.up).collect();
-        let in_doubt = up.iter().filter(|(_, c)| c.liveness.wants_ping(now)).map(|(conn, _)| *conn);
-        let mut ping: Vec<ConnectionId> = in_doubt.collect();
+        // A server that has left the list gets no new connection, on which it would repeat what was lost.
+        let irreplaceable = server.list_state == ServerState::Gone;
+        let is_silent = |c: &ServerConnection| now - c.heard_at() >= limits::PING_AFTER_SILENCE;
+        let to_test = up.iter().filter(|(_, c)| c.liveness.wants_ping(now) || irreplaceable && is_silent(c));
+        let mut ping: Vec<ConnectionId> = to_test.map(|(conn, _)| *conn).collect();
         let silent = now - server.last_seen_at >= limits::PING_AFTER_SILENCE;
         let failed_at = up.iter().filter_map(|(_, c)| c.liveness.failed_ping_at()).max_by(Ms::total_cmp);
         let unproven = failed_at.is_some_and(|failed_at| server.last_message_at <= failed_at);
--- a/crates/node/src/core/server_connections.rs
+++ b/crates/node/src/core/server_connections.rs
@@ -169,7 +169,9 @@
         if self.server_connections.len() >= self.max_server_connections && !self.make_room(now) {
             return None;
         }
-        let address = self.servers.get(&server_id)?.address;
+        // The address of a server that is no longer listed may belong to another by now.
+        let server = self.servers.get(&server_id).filter(|s| s.list_state != ServerState::Gone)?;
+        let address = server.address;
         let conn = self.new_connection_id();
         self.servers.get_mut(&server_id)?.connections.push(conn);
         let connection = ServerConnection {
@@ -321,19 +323,20 @@
         }
         // The process has ended, and its sessions with it, if a connection is refused while no other one is
         // open (an open one would be reset). A machine that neither accepts a connection nor sends anything
-        // on an old one is gone as well. A server that is no longer listed isn't connected to again: its
-        // address may belong to another by now.
+        // on an old one is gone as well.
         let silent = now - server.last_seen_at > limits::PING_AFTER_SILENCE
             && server.connect_failures > 0
             && end != ConnectionEnd::Unopened;
-        let gone = server.list_state == ServerState::Gone && server.connections.is_empty();
+        let gone = server.list_state == ServerState::Gone;
         let any_other_up =
             server.connections.iter().any(|other| self.server_connections.get(other).is_some_and(|c| c.up));
         if end == ConnectionEnd::Refused && !any_other_up {
             server.unsent.clear();
         }
-        if end == ConnectionEnd::Refused && !any_other_up || !connection.up && silent || gone {
+        if end == ConnectionEnd::Refused && !any_other_up || !connection.up && silent {
             self.end_all_sessions(server_id, now);
+        } else if gone {
+            self.end_orphaned_sessions(server_id, now);
         } else if self.servers[&server_id].needs_connection() {
             if connection.up {
                 // Messages of the server on this connection may be lost; it repeats releases on the next one.
@@ -356,6 +359,16 @@
         (0..probes).for_each(|_| self.engine.probe_finished(server_id, outcome, now));
     }
 
+    /// Ends the sessions on a server that has left the list, as far as no connection is left on which it would report
+    /// their end. A connection that was opened after a session had begun may lead to another server, which has got the
+    /// address since.
+    pub(super) fn end_orphaned_sessions(&mut self, server_id: ServerId, now: Ms) {
+        let Some(server) = self.servers.get(&server_id) else { return };
+        let opened_at = self.connections_of(server).filter(|(_, c)| c.up).map(|(_, c)| c.opened_at);
+        let oldest = opened_at.fold(Ms::INFINITY, Ms::min);
+        self.end_sessions_before(server_id, oldest, now);
+    }
+
     /// Ends all sessions on a server.
     pub(super) fn end_all_sessions(&mut self, server_id: ServerId, now: Ms) {
         self.end_sessions_before(server_id, Ms::INFINITY, now);
@@ -606,8 +619,12 @@
         let Some(server) = self.servers.get(&server_id) else { return };
         let heard_elsewhere = server.last_message_at > options.sent_at;
         let latest = server.connections.iter().max() == Some(&conn);
-        if failed && latest && !heard_elsewhere {
-            self.connect(server_id, now);
+        if !failed || !latest || heard_elsewhere {
+            return;
+        }
+        match server.list_state {
+            ServerState::Gone => self.end_all_sessions(server_id, now),
+            _ => drop(self.connect(server_id, now)),
         }
     }
 }
--- a/crates/node/src/core/server_list.rs
+++ b/crates/node/src/core/server_list.rs
@@ -114,10 +114,7 @@
         for id in gone {
             let Some(s) = self.servers.get_mut(&id) else { continue };
             s.list_state = ServerState::Gone;
-            // Without a connection, the ends of its sessions would never be reported.
-            if s.connections.is_empty() {
-                self.end_all_sessions(id, now);
-            }
+            self.end_orphaned_sessions(id, now);
         }
         self.engine.replace_server_list(entries);
         self.cancel_unsent_setups(now);
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -191,6 +191,8 @@
                     self.receive(conn, &options_response(&request));
                 } else if let (true, Ok(id)) = (request.starts_with("SETUP"), id) {
                     self.receive(conn, &setup_response(200, id, ""));
+                } else {
+                    self.written.push((conn, request));
                 }
             }
         }
