node: a round of the event loop reads for a limited time, whatever peers send

Cause: a round read up to 16 kB from every connection before datagrams and timers had their turn, and each request costs a decision. Fix: 10 ms of reading a round, 4 kB a connection; a request's wait counts from when its connection was queued.

--- a/crates/cli/tests/crossings.rs
+++ b/crates/cli/tests/crossings.rs
@@ -411,16 +411,6 @@
     );
 }
 
-/// The queries of the node that have arrived so far, with their senders.
-fn pending_queries(name_service: &UdpSocket) -> Vec<(Vec<u8>, SocketAddr)> {
-    name_service.set_nonblocking(true).unwrap();
-    let mut buffer = [0; 512];
-    let queries = std::iter::from_fn(|| {
-        name_service.recv_from(&mut buffer).ok().map(|(length, sender)| (buffer[..length].to_vec(), sender))
-    });
-    queries.collect()
-}
-
 /// Answers the next query with a list of one server.
 fn answer_query(name_service: &UdpSocket, serial: u32, server_name: &str, server: SocketAddr) {
     let deadline = Instant::now() + RECEIVE_TIMEOUT;
--- /dev/null
+++ b/crates/cli/tests/flood.rs
@@ -0,0 +1,121 @@
+//! A front node beside clients that send requests without pause, with real connections.
+#[path = "../../platform/tests/support/dns.rs"]
+mod dns;
+#[path = "support/node.rs"]
+mod node;
+
+use node::*;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Clients that send without pause.
+const CLIENTS: u64 = 30;
+/// Playing sessions, each of which makes a decision take longer.
+const SESSIONS: u64 = 1_500;
+/// Requests that a client sends in one piece.
+const REQUESTS_AT_ONCE: u64 = 100;
+/// Connections of usual viewers.
+const USUAL_VIEWERS: u64 = 6;
+/// Pause between the requests on a usual viewer's connection.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
+/// The platform's drain grace, with what it allows for sockets.
+const DRAIN_LIMIT: Duration = Duration::from_millis(300);
+
+/// A request for a title that no server holds, which is refused at once.
+fn refused_request(id: u64) -> String {
+    setup_request(id).replace("home:0", "home:5")
+}
+
+/// Sends requests without pause and reads whatever comes back, until `stopped`.
+fn flood(node: SocketAddr, first_id: u64, stopped: &Arc<AtomicBool>) {
+    let mut stream = TcpStream::connect(node).unwrap();
+    let mut answers = stream.try_clone().unwrap();
+    std::thread::spawn(move || {
+        let mut buffer = [0; 65_536];
+        while answers.read(&mut buffer).is_ok_and(|n| n > 0) {}
+    });
+    let mut next_id = first_id;
+    while !stopped.load(Ordering::Relaxed) {
+        let requests: String = (next_id..next_id + REQUESTS_AT_ONCE).map(refused_request).collect();
+        next_id += REQUESTS_AT_ONCE;
+        if stream.write_all(requests.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+/// The configuration with servers and links that all sessions fit on.
+fn with_room_for_all_sessions(configuration: String) -> String {
+    configuration
+        .replace("\"kind_streams\":[35,24]", "\"kind_streams\":[35000,24]")
+        .replace("\"link_unit_kb\":3037.0", "\"link_unit_kb\":3037000.0")
+        .replace("\"uplink_kb\":48379.0", "\"uplink_kb\":48379000.0")
+}
+
+/// Guards against SETUPs to a draining or removed server: a round of the event loop read from every client before the
+/// list of servers had its turn, and lasted for as long as the clients' requests took.
+#[test]
+fn list_is_applied_within_the_drain_grace_beside_a_flood_of_requests() {
+    let mut node = TestNode::start_configured(with_room_for_all_sessions);
+    let mut viewer = Connection::new(node.connect_viewer());
+    for id in 0..SESSIONS {
+        let title = format!("rtsp://media/{:016x}", id % 40);
+        let handed_over = setup_request(0x9000 + id)
+            .replace("rtsp://media/7f3a9c21e0b4d655", &title)
+            .replace("top:4;", "top:4;at:s-00000001;");
+        viewer.send(&handed_over);
+    }
+    let stopped = Arc::new(AtomicBool::new(false));
+    let usual_viewers: Vec<_> = (1..=USUAL_VIEWERS)
+        .map(|number| {
+            let (mut viewer, stopped) = (Connection::new(node.connect_viewer()), stopped.clone());
+            std::thread::spawn(move || {
+                for id in number << 48.. {
+                    if stopped.load(Ordering::Relaxed) {
+                        return;
+                    }
+                    viewer.send(&setup_request(id));
+                    std::thread::sleep(REQUEST_INTERVAL);
+                }
+            })
+        })
+        .collect();
+    let last_setup_at = Arc::new(Mutex::new(None));
+    let last = last_setup_at.clone();
+    let server_requests = std::mem::replace(&mut node.server_requests, channel().1);
+    std::thread::spawn(move || {
+        for (_, request) in server_requests {
+            if request.starts_with("SETUP") {
+                *last.lock().unwrap() = Some(Instant::now());
+            }
+        }
+    });
+    while last_setup_at.lock().unwrap().is_none() {
+        std::thread::sleep(REQUEST_INTERVAL);
+    }
+    let clients: Vec<_> = (1..=CLIENTS)
+        .map(|client| {
+            let (address, stopped) = (node.address, stopped.clone());
+            std::thread::spawn(move || flood(address, client << 32, &stopped))
+        })
+        .collect();
+    std::thread::sleep(Duration::from_secs(2));
+    pending_queries(&node.name_service);
+    let (query, sender) = loop {
+        match pending_queries(&node.name_service).pop() {
+            Some(query) => break query,
+            None => std::thread::sleep(Duration::from_millis(1)),
+        }
+    };
+    let told_at = Instant::now();
+    node.name_service.send_to(&dns::list(&query, 9, &[], "started=0"), sender).unwrap();
+    std::thread::sleep(Duration::from_secs(2));
+    stopped.store(true, Ordering::Relaxed);
+    let late = last_setup_at.lock().unwrap().unwrap().saturating_duration_since(told_at);
+    clients.into_iter().chain(usual_viewers).for_each(|client| client.join().unwrap());
+    assert!(late <= DRAIN_LIMIT, "a SETUP {late:?} after the list");
+}
--- a/crates/cli/tests/support/node.rs
+++ b/crates/cli/tests/support/node.rs
@@ -42,13 +42,18 @@
 impl TestNode {
     /// Starts a node whose server answers every SETUP and probe automatically.
     pub fn start() -> TestNode {
+        TestNode::start_configured(|text| text)
+    }
+
+    /// The same, with the configuration that `edit_configuration` returns.
+    pub fn start_configured(edit_configuration: impl Fn(String) -> String) -> TestNode {
         let server = TcpListener::bind("127.0.0.1:0").unwrap();
         let (request_sender, server_requests) = channel();
         let server_address = server.local_addr().unwrap();
         let server_mode = Arc::new(AtomicU8::new(SERVER_ANSWERS));
         let mode = server_mode.clone();
         std::thread::spawn(move || run_automatic_server(server, &request_sender, &mode));
-        TestNode::start_with(server_address, server_mode, server_requests, 128, |text| text)
+        TestNode::start_with(server_address, server_mode, server_requests, 128, edit_configuration)
     }
 
     /// Starts a node with a scripted server, a limit on its descriptors, and the configuration that
@@ -414,3 +419,13 @@
     let reason = cause.map_or(String::new(), |cause| format!("Reason: cause={cause}\r\n"));
     format!("TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: {id:016x}\r\n{reason}Content-Length: 0\r\n\r\n")
 }
+
+/// The queries of the node that have arrived so far, with their senders.
+pub fn pending_queries(name_service: &UdpSocket) -> Vec<(Vec<u8>, SocketAddr)> {
+    name_service.set_nonblocking(true).unwrap();
+    let mut buffer = [0; 512];
+    let queries = std::iter::from_fn(|| {
+        name_service.recv_from(&mut buffer).ok().map(|(length, sender)| (buffer[..length].to_vec(), sender))
+    });
+    queries.collect()
+}
--- a/crates/node/src/edge/hub.rs
+++ b/crates/node/src/edge/hub.rs
@@ -182,9 +182,7 @@
                     Token(conn) => self.queue_for_reading(ConnectionId(conn as u64)),
                 }
             }
-            for _ in 0..self.read_queue.len() {
-                self.read_next();
-            }
+            self.read_connections();
             self.accept_viewers(self.max_viewers);
             self.receive_datagrams();
             self.node.process_due(self.clock.now());
@@ -216,18 +214,32 @@
 
     /// Adds a connection that may have data to the read queue, unless it is there already.
     fn queue_for_reading(&mut self, conn: ConnectionId) {
-        if let Some(socket) = self.sockets.get_mut(&conn).filter(|s| !s.queued_for_reading) {
-            socket.queued_for_reading = true;
+        let now = self.clock.now();
+        if let Some(socket) = self.sockets.get_mut(&conn).filter(|s| s.queued_at.is_none()) {
+            socket.queued_at = Some(now);
             self.read_queue.push_back(conn);
         }
     }
 
+    /// Reads from the connections of the read queue, each once, for a limited time: datagrams, timers and new connections
+    /// have their turn whatever peers send. The rest of the queue is read in the next round.
+    fn read_connections(&mut self) {
+        let ends_at = self.last_wakeup + limits::MAX_READ_TIME;
+        for _ in 0..self.read_queue.len() {
+            self.read_next();
+            if self.clock.now() >= ends_at {
+                return;
+            }
+        }
+    }
+
     /// Reads from the first connection of the read queue. The amount is limited, so that the others are not
     /// delayed; a connection that may have more is queued again.
     fn read_next(&mut self) {
         let Some(conn) = self.read_queue.pop_front() else { return };
         let Some(socket) = self.sockets.get_mut(&conn) else { return };
-        socket.queued_for_reading = false;
+        // A request may have waited for several rounds, which counts towards its viewer's wait.
+        let received_at = socket.queued_at.take().unwrap_or(self.last_wakeup);
         if socket.connecting {
             match socket.check_connected() {
                 Ok(false) => return,
@@ -239,12 +251,14 @@
             }
         }
         let mut buffer = [0; limits::READ_BUFFER_BYTES];
-        for _ in 0..limits::MAX_CONSECUTIVE_READS {
+        let mut bytes_read = 0;
+        while bytes_read < limits::MAX_BYTES_PER_TURN {
             let Some(socket) = self.sockets.get_mut(&conn) else { return };
             match socket.read(&mut buffer) {
                 ReadResult::Bytes(n) => {
+                    bytes_read += n;
                     tracing::trace!(target: "walnutline::bytes", conn = conn.0, "in {}", buffer[..n].escape_ascii());
-                    self.node.bytes_received(conn, &buffer[..n], self.last_wakeup, self.clock.now());
+                    self.node.bytes_received(conn, &buffer[..n], received_at, self.clock.now());
                     // Answers are sent before anything else is processed: a session may end before its viewer
                     // has received the answer.
                     self.perform_actions();
--- a/crates/node/src/edge/socket.rs
+++ b/crates/node/src/edge/socket.rs
@@ -5,6 +5,7 @@
 use socket2::{Domain, Protocol, SockAddr, Type};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr};
+use walnutline::ids::Ms;
 
 /// Who is at the other end of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -19,8 +20,8 @@
     pub peer_role: PeerRole,
     /// The connection has not been established yet.
     pub connecting: bool,
-    /// The connection is in the hub's read queue.
-    pub queued_for_reading: bool,
+    /// When the connection was put into the hub's read queue, if it is there.
+    pub queued_at: Option<Ms>,
     /// A write failed or the backlog overflowed. The connection ends once everything that was received has
     /// been read.
     broken: bool,
@@ -56,14 +57,7 @@
 
     fn new(stream: TcpStream, peer_role: PeerRole) -> Socket {
         let connecting = peer_role == PeerRole::Server;
-        Socket {
-            stream,
-            peer_role,
-            connecting,
-            queued_for_reading: false,
-            broken: false,
-            backlog: Vec::new(),
-        }
+        Socket { stream, peer_role, connecting, queued_at: None, broken: false, backlog: Vec::new() }
     }
 
     /// Starts to open a connection to a server, without waiting for it.
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -105,9 +105,11 @@
 pub const MAX_BACKLOG_BYTES: usize = 256 * 1024;
 /// Bytes read from a connection in one call.
 pub const READ_BUFFER_BYTES: usize = 4_096;
-/// Reads from one connection before the others are served, so that a peer that sends without pause delays no
+/// Bytes read from one connection before the others are served, so that a peer that sends without pause delays no
 /// other.
-pub const MAX_CONSECUTIVE_READS: usize = 4;
+pub const MAX_BYTES_PER_TURN: usize = READ_BUFFER_BYTES;
+/// Longest time for which connections are read before datagrams and timers are served. The last turn may exceed it.
+pub const MAX_READ_TIME: Ms = 10.0;
 
 /// Returns the number of viewers' connections held at once, for a limit on sockets and the number of servers
 /// listed at the start: at least a third of the sockets and at least 8, however many are reserved.
