--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -1,4 +1,5 @@
 //! Each decision, on a small state that the test builds.
+#[allow(dead_code)]
 mod support;
 
 use support::*;
--- a/tests/retry_budget.rs
+++ b/tests/retry_budget.rs
@@ -3,29 +3,17 @@
 mod support;
 
 use support::*;
-use walnutline::api::Request;
 use walnutline::ids::*;
 use walnutline::recent_events::RecentEvents;
 use walnutline::settings::PolicySettings;
 use walnutline::state::FrontState;
 
-fn request() -> Request {
-    Request {
-        group: GroupIndex(0),
-        title: TitleId(9),
-        holders: cells(0, 4),
-        rates_kb_per_s: None,
-        highest_rung: 2,
-        time_left: 3_000.0,
-    }
-}
-
 /// Takes `count` requests, evenly spread over `duration`, each of which is over at once.
 fn take_requests(front: &mut FrontState, count: u64, duration: Ms) {
     let mut table = session_table([]);
     for n in 0..count {
         let now = NOW + duration * n as f64 / count as f64;
-        front.add_request(&mut table, SessionId(n), request(), now);
+        front.add_request(&mut table, SessionId(n), request(3_000.0), now);
         table.sessions.clear();
     }
 }
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -4,24 +4,13 @@
 
 use support::*;
 use test_case::test_case;
-use walnutline::api::{Placement, Request};
+use walnutline::api::Placement;
 use walnutline::ids::*;
 use walnutline::sessions::Session;
 
 /// The session that a test places: the first one of its table.
 const SESSION: SessionId = SessionId(1);
 
-fn request(time_left: Ms) -> Request {
-    Request {
-        group: GroupIndex(0),
-        title: TitleId(9),
-        holders: cells(0, 4),
-        rates_kb_per_s: None,
-        highest_rung: 2,
-        time_left,
-    }
-}
-
 #[test]
 fn no_wait_of_a_stopping_front_outlasts_its_end() {
     let mut front = front(settings());
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,5 +1,5 @@
 //! Small states for tests: four servers that hold all titles, on two racks, and one service group.
-use walnutline::api::Holders;
+use walnutline::api::{Holders, Request};
 use walnutline::fleet::{ListEntry, Measurement, Server, ServerState};
 use walnutline::ids::*;
 use walnutline::sessions::{Session, SessionTable};
@@ -78,6 +78,18 @@
     front
 }
 
+/// A request for the title that all servers hold.
+pub fn request(time_left: Ms) -> Request {
+    Request {
+        group: GroupIndex(0),
+        title: TitleId(9),
+        holders: cells(0, 4),
+        rates_kb_per_s: None,
+        highest_rung: 2,
+        time_left,
+    }
+}
+
 /// A request that arrived at `NOW`.
 pub fn session() -> Session {
     Session {
