--- /dev/null
+++ b/review/stand-ins-2/cases.rs
@@ -0,0 +1,337 @@
+//! The cases. Each returns what was seen: `Ok` if the rule held, `Err` if it was broken.
+use crate::world::*;
+
+type Verdict = Result<String, String>;
+
+pub fn play(name: &str, trouble: bool, record: &Record) -> Verdict {
+    match name {
+        "new-zone" => new_zone(trouble, record),
+        "lost-answer" => lost_answer(trouble, record),
+        "short-length" => short_length(trouble, record),
+        "cut-off" => cut_off(trouble, record),
+        _ => cannot_run(&format!("no case {name:?}")),
+    }
+}
+
+/// What differs between the deployments, of the settings that these cases need.
+struct Deployment {
+    classes: &'static str,
+    family: &'static str,
+    attempts: u32,
+    reporting: &'static str,
+    safety: &'static str,
+}
+
+/// Like `zvolen-notices`.
+const NOTICES: Deployment = Deployment {
+    classes: r#"{"aim":800.0,"hard_limit":3000.0,"name":"board-loop","repeat":"repeatable","stream":true,"window":5000.0,"worth":1.0,"group":"all"},
+   {"aim":1000.0,"hard_limit":3000.0,"name":"council-notice","repeat":"repeatable","stream":true,"window":5000.0,"worth":3.0,"group":"all"}"#,
+    family: r#""class_floor":[0,0],"class_scale":[1.0,1.2],"highest_rung":[4,4],"kind_streams":[35,24],"licence_cap":[0,0],"see":778.493"#,
+    attempts: 3,
+    reporting: r#"{"columns":["inflight","x0"],"via":"pull"}"#,
+    safety: r#"{"cold":12000.0,"cold_from":0.4,"drain_grace":250.0,"tip_after":1000.0,"tip_multiple":2.0,"grace_to_answer":40.0}"#,
+};
+
+/// Like `zvolen-guides`.
+const GUIDES: Deployment = Deployment {
+    classes: r#"{"aim":1000.0,"hard_limit":4000.0,"name":"site-kiosk","repeat":"repeatable","stream":true,"window":5000.0,"worth":3.0,"group":"all"},
+   {"aim":1500.0,"hard_limit":5000.0,"name":"web-phone","repeat":"repeatable","stream":true,"window":5000.0,"worth":1.0,"group":"all"}"#,
+    family: r#""class_floor":[0,0],"class_scale":[1.4,1.0],"highest_rung":[4,4],"kind_streams":[30,30],"licence_cap":[0,0],"see":900.0,"reports_every":3000.0"#,
+    attempts: 4,
+    reporting: r#"{"columns":["x0"],"via":"piggyback"}"#,
+    safety: r#"{"cold":8000.0,"cold_from":0.5,"drain_grace":1000.0,"tip_after":2000.0,"tip_multiple":4.0,"grace_to_answer":40.0}"#,
+};
+
+/// Like `zvolen-town-radio`, where one front may hold four sessions of one title of `signed-recordings`.
+const TOWN_RADIO: Deployment = Deployment {
+    classes: r#"{"aim":1500.0,"hard_limit":5000.0,"name":"signed-recordings","repeat":"repeatable","stream":true,"window":5000.0,"worth":2.0,"group":"all"},
+   {"aim":1000.0,"hard_limit":5000.0,"name":"radio-replays","repeat":"repeatable","stream":true,"window":5000.0,"worth":1.0,"group":"all"}"#,
+    family: r#""class_floor":[1,0],"class_scale":[1.4,1.0],"highest_rung":[4,4],"kind_streams":[30,30],"licence_cap":[6,0],"see":900.0"#,
+    attempts: 4,
+    reporting: r#"{"columns":["inflight","x0","x1"],"via":"pull"}"#,
+    safety: r#"{"cold":8000.0,"cold_from":0.5,"drain_grace":1000.0,"tip_after":1000.0,"tip_multiple":2.5,"grace_to_answer":40.0,"min_extra":5.0,"extra_ratio":0.2,"look_back":10000.0}"#,
+};
+
+fn configuration(deployment: &Deployment, zones: &str, names: &NameService) -> String {
+    let (number, servers) = names.list();
+    let instances: Vec<String> = servers
+        .iter()
+        .map(|s| {
+            let state = if s.draining { "Terminating" } else { "Ready" };
+            format!(
+                r#"{{"instanceId":"{}","hostPort":"{}","zone":"{}","machineType":"{}","cell":{},"lifecycle":"{state}","weight":3,"startedAtMs":{}}}"#,
+                s.name, s.address, s.zone, s.kind, s.cell, s.started
+            )
+        })
+        .collect();
+    format!(
+        r#"{{"name":"n1","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":512}},
+ "names":"{}",
+ "known":{{"no":{number},"items":[{{"no":{number},"roster":{{"generation":1,"reset":true,"instances":[{}]}}}}]}},
+ "settings":{{"balancers":2,"classes":[{}],
+  "family":"streams","family_info":{{{},"level_kb":[190.0,334.0,589.0,1036.0,1824.0],"level_worth":[0.22,0.44,0.64,0.82,1.0],
+   "link_unit_kb":30370.0,"places":12,"racks":2,"uplink_kb":483790.0,"switch_cost_s":0.44}},
+  "kinds":["box"],"zones":[{zones}],"realms":[],"registry_mode":"push",
+  "limits":{{"attempts_cap":{},"cancelling":true,"connect_timeout":250.0,"keepalive":30000.0,"max_retry_after":1000.0,"parallel_tries":false,"peer_messages":false,"probes":true,"retry_after":true}},
+  "reporting":{},"safety":{}}}}}"#,
+        names.address,
+        instances.join(",\n   "),
+        deployment.classes,
+        deployment.family,
+        deployment.attempts,
+        deployment.reporting,
+        deployment.safety,
+    )
+}
+
+/// Servers `s-00000001` and so on, one in each cell from 0.
+fn servers(count: usize, answer_delay: u64, record: &Record) -> Vec<Server> {
+    (1..=count).map(|n| Server::start(&format!("s-{n:08x}"), record, answer_delay)).collect()
+}
+
+fn listed(servers: &[Server], zones: &[&str]) -> Vec<ListedServer> {
+    let entry = |(cell, s): (usize, &Server)| ListedServer {
+        name: s.name.clone(),
+        address: s.address,
+        zone: zones[cell % zones.len()].to_owned(),
+        kind: "box".into(),
+        cell: cell as u32,
+        draining: false,
+        started: 0,
+    };
+    servers.iter().enumerate().map(entry).collect()
+}
+
+/// A server joins in a zone that the settings don't name; then a new configuration moves the name service, and a server
+/// drains. No SETUP may reach it later than the grace after the front node counts as told.
+fn new_zone(trouble: bool, record: &Record) -> Verdict {
+    let servers = servers(5, 40, record);
+    let list = listed(&servers, &["depot-a", "depot-b"]);
+    let old = NameService::start(3, list[..4].to_vec(), record);
+    let text = configuration(&NOTICES, r#""depot-a","depot-b""#, &old);
+    let mut node = Node::start(&text, record);
+    let viewers = Viewers::connect(node.address, record);
+    let mut next = 0x1000;
+    let mut ask = |viewers: &Viewers| {
+        next += 1;
+        viewers.setup(next, 0x77, "board-loop", 3000, 0, 5)
+    };
+    for _ in 0..4 {
+        ask(&viewers);
+        pause(300);
+    }
+    let joined = ListedServer { zone: "depot-c".into(), ..list[4].clone() };
+    let number = old.change(|servers| servers.push(joined));
+    if !wait_for(ms(3_000), || old.told_at(number).is_some()) {
+        cannot_run("the front node does not ask for the list");
+    }
+    pause(2_000);
+    let (number, entries) = old.list();
+    let names = if trouble {
+        let new = NameService::start(number, entries, record);
+        // The same document, but for the address of the name service and what is known by now.
+        node.reconfigure(&configuration(&NOTICES, r#""depot-a","depot-b""#, &new));
+        old.set_answering(false);
+        record.line("the old name service is silent");
+        new
+    } else {
+        old
+    };
+    let hup_at = record.now();
+    for _ in 0..5 {
+        ask(&viewers);
+        pause(1_000);
+    }
+    let drained = &servers[0];
+    let number = names.change(|servers| servers[0].draining = true);
+    let drained_at = record.now();
+    record.line(&format!("{} drains, list {number}", drained.name));
+    // Told at the latest 1.5 s after it happened, and 4 s after SIGHUP.
+    wait_for(ms(1_500), || names.told_at(number).is_some());
+    let told = names.told_at(number).unwrap_or((drained_at + 1_500).max(hup_at + 4_000));
+    let limit = told + 250 + 50;
+    while record.now() < limit + 20 {
+        pause(5);
+    }
+    let mut ids = Vec::new();
+    for _ in 0..20 {
+        ids.push(ask(&viewers));
+        pause(200);
+    }
+    pause(1_000);
+    if !node.is_running() {
+        return Err("the front node ended".into());
+    }
+    if ids.iter().any(|id| viewers.answer(id).is_none()) {
+        return Err("a request was not answered".into());
+    }
+    for line in node.log().lines().filter(|l| l.contains("configuration")) {
+        record.line(&format!("log of the front node: {line}"));
+    }
+    let late = drained.setups_since(limit);
+    match late.first() {
+        None => Ok(format!("no SETUP reached {} after {limit} ms", drained.name)),
+        Some((at, id)) => Err(format!(
+            "{} SETUPs reached {} after it drained; told at {told} ms, limit {limit} ms, the first at {at} ms ({id})",
+            late.len(),
+            drained.name
+        )),
+    }
+}
+
+/// The answer to a set-up gets lost on one of two connections to a server, which is then of no further use. A session
+/// that was accepted on it ends. Its viewer has to be told within 8 s.
+fn lost_answer(trouble: bool, record: &Record) -> Verdict {
+    let servers = servers(4, 150, record);
+    let names = NameService::start(3, listed(&servers, &["main-building"]), record);
+    let node = Node::start(&configuration(&GUIDES, r#""main-building""#, &names), record);
+    let viewers = Viewers::connect(node.address, record);
+    let noting = servers.clone();
+    std::thread::spawn(move || loop {
+        pause(3_000);
+        noting.iter().for_each(Server::note_link_use);
+    });
+    // Some sessions at once, so that the servers get more than one connection.
+    let mut next = 0x2000;
+    let first: Vec<String> = (0..12).map(|_| {
+        next += 1;
+        viewers.setup(next, 0x99, "web-phone", 5000, 0, 4)
+    }).collect();
+    if !wait_for(ms(5_000), || first.iter().all(|id| viewers.answer(id).is_some())) {
+        return Err("a request was not answered".into());
+    }
+    let sessions_on = |s: &Server, conn: u64| -> Vec<String> {
+        s.sessions().into_iter().filter(|(_, standing)| standing.conn == conn).map(|(id, _)| id).collect()
+    };
+    let server = servers.iter().find(|s| {
+        let connections = s.open_connections();
+        connections.len() >= 2 && connections.iter().filter(|c| !sessions_on(s, **c).is_empty()).count() >= 2
+    });
+    let Some(server) = server else { cannot_run("no server has two connections with sessions") };
+    let used: Vec<u64> = server.open_connections().into_iter().filter(|c| !sessions_on(server, *c).is_empty()).collect();
+    let conn = used[0];
+    let session = sessions_on(server, conn).remove(0);
+    record.line(&format!("{} connection {conn} brought the session {session}", server.name));
+    pause(1_000);
+    if trouble {
+        server.lose_next_answer_on(conn);
+        for _ in 0..30 {
+            next += 1;
+            viewers.setup(next, 0x99, "web-phone", 5000, 0, 4);
+            pause(500);
+            if server.answer_lost_at().is_some() {
+                break;
+            }
+        }
+        if server.answer_lost_at().is_none() {
+            cannot_run("no SETUP came on the connection");
+        }
+    } else {
+        for _ in 0..5 {
+            next += 1;
+            viewers.setup(next, 0x99, "web-phone", 5000, 0, 4);
+            pause(500);
+        }
+    }
+    pause(500);
+    let ended_at = record.now();
+    server.end_session(&session, 16);
+    let told = wait_for(ms(8_050 + 1_000), || viewers.release(&session).is_some());
+    pause(200);
+    match viewers.release(&session) {
+        Some(event) if event.at <= ended_at + 8_050 => Ok(format!("released {} ms after its end", event.at - ended_at)),
+        Some(event) => Err(format!("session {session} was released only {} ms after its end", event.at - ended_at)),
+        None => Err(format!("session {session} ended at {ended_at} ms and was never released (told {told})")),
+    }
+}
+
+/// A fifth of the servers is silent for 6 s. The front may not hold more sessions of one title than its seats.
+fn cut_off(trouble: bool, record: &Record) -> Verdict {
+    let seats = 6;
+    let servers = servers(5, 40, record);
+    let names = NameService::start(3, listed(&servers, &["sokolska-hall"]), record);
+    let node = Node::start(&configuration(&TOWN_RADIO, r#""sokolska-hall""#, &names), record);
+    let viewers = Viewers::connect(node.address, record);
+    let title = 0xaa;
+    let held = || -> usize {
+        let of_title = |s: &Server| {
+            let standing = s.sessions().into_values();
+            standing.filter(|s| s.title == format!("{title:016x}") && s.class == "signed-recordings").count()
+        };
+        servers.iter().map(of_title).sum()
+    };
+    let mut next = 0x3000;
+    let mut ask = || {
+        next += 1;
+        let id = viewers.setup(next, title, "signed-recordings", 5000, 0, 3);
+        wait_for(ms(2_000), || viewers.answer(&id).is_some());
+        id
+    };
+    for _ in 0..8 {
+        ask();
+        pause(300);
+    }
+    record.line(&format!("sessions of the title: {}", held()));
+    if held() != seats {
+        cannot_run("the seats were not taken");
+    }
+    pause(500);
+    let of_title = |s: &Server| s.sessions().values().filter(|s| s.title == format!("{title:016x}")).count();
+    let silent = servers.iter().max_by_key(|s| of_title(s)).unwrap();
+    if trouble {
+        silent.cut_off();
+    }
+    let mut most = held();
+    let start = record.now();
+    let mut restored = false;
+    // A viewer asks for the title every second.
+    while record.now() < start + 12_000 {
+        if trouble && !restored && record.now() >= start + 5_800 {
+            silent.cut_ends();
+            restored = true;
+        }
+        if (record.now() - start) % 1_000 < 50 {
+            ask();
+        }
+        pause(20);
+        most = most.max(held());
+    }
+    let told: Vec<Event> = viewers.events().into_iter().filter(|e| e.status == 0).collect();
+    record.line(&format!("most sessions of the title at once: {most}; releases told to viewers: {}", told.len()));
+    drop(node);
+    if most > seats {
+        Err(format!("{most} sessions of one title stood at once, {seats} seats; {} viewers were told of an end that was none", told.len()))
+    } else {
+        Ok(format!("at most {most} sessions of the title, {seats} seats"))
+    }
+}
+
+/// The lengths of some good answers don't fit. No viewer may be served with a description that no server made for it.
+fn short_length(trouble: bool, record: &Record) -> Verdict {
+    let servers = servers(4, 40, record);
+    let names = NameService::start(3, listed(&servers, &["depot-a", "depot-b"]), record);
+    let _node = Node::start(&configuration(&NOTICES, r#""depot-a","depot-b""#, &names), record);
+    let viewers = Viewers::connect(_node.address, record);
+    let mut ids = Vec::new();
+    for n in 0..24 {
+        // One answer in three has a length that doesn't fit.
+        let short_by = if trouble && n % 3 == 2 { 1 + n as usize % 2 } else { 0 };
+        servers.iter().for_each(|s| s.shorten_lengths_by(short_by));
+        let id = viewers.setup(0x4000 + n, 0x55, "council-notice", 3000, 0, 4);
+        wait_for(ms(3_100), || viewers.answer(&id).is_some());
+        ids.push(id);
+    }
+    let mut wrong = Vec::new();
+    for id in &ids {
+        let Some(answer) = viewers.answer(id) else { return Err(format!("{id} was not answered")) };
+        let made: Vec<String> = servers.iter().filter_map(|s| s.description(id)).collect();
+        if answer.status == 200 && !made.contains(&answer.body) {
+            record.line(&format!("{id}: served with {:?}, made for it: {made:?}", answer.body));
+            wrong.push(id);
+        }
+    }
+    match wrong.len() {
+        0 => Ok(format!("{} viewers were served with what a server made for them, or refused", ids.len())),
+        n => Err(format!("{n} of {} viewers were served with a description that no server made", ids.len())),
+    }
+}
