--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -7,6 +7,7 @@
     match name {
         "new-zone" => new_zone(trouble, record),
         "lost-answer" => lost_answer(trouble, record),
+        "busy-dead-connection" => busy_dead_connection(trouble, record),
         "short-length" => short_length(trouble, record),
         "cut-off" => cut_off(trouble, record),
         _ => cannot_run(&format!("no case {name:?}")),
@@ -18,6 +19,7 @@
     classes: &'static str,
     family: &'static str,
     attempts: u32,
+    keepalive: u64,
     reporting: &'static str,
     safety: &'static str,
 }
@@ -28,6 +30,7 @@
    {"aim":1000.0,"hard_limit":3000.0,"name":"council-notice","repeat":"repeatable","stream":true,"window":5000.0,"worth":3.0,"group":"all"}"#,
     family: r#""class_floor":[0,0],"class_scale":[1.0,1.2],"highest_rung":[4,4],"kind_streams":[35,24],"licence_cap":[0,0],"see":778.493"#,
     attempts: 3,
+    keepalive: 30_000,
     reporting: r#"{"columns":["inflight","x0"],"via":"pull"}"#,
     safety: r#"{"cold":12000.0,"cold_from":0.4,"drain_grace":250.0,"tip_after":1000.0,"tip_multiple":2.0,"grace_to_answer":40.0}"#,
 };
@@ -38,6 +41,7 @@
    {"aim":1500.0,"hard_limit":5000.0,"name":"web-phone","repeat":"repeatable","stream":true,"window":5000.0,"worth":1.0,"group":"all"}"#,
     family: r#""class_floor":[0,0],"class_scale":[1.4,1.0],"highest_rung":[4,4],"kind_streams":[30,30],"licence_cap":[0,0],"see":900.0,"reports_every":3000.0"#,
     attempts: 4,
+    keepalive: 30_000,
     reporting: r#"{"columns":["x0"],"via":"piggyback"}"#,
     safety: r#"{"cold":8000.0,"cold_from":0.5,"drain_grace":1000.0,"tip_after":2000.0,"tip_multiple":4.0,"grace_to_answer":40.0}"#,
 };
@@ -48,11 +52,36 @@
    {"aim":1000.0,"hard_limit":5000.0,"name":"radio-replays","repeat":"repeatable","stream":true,"window":5000.0,"worth":1.0,"group":"all"}"#,
     family: r#""class_floor":[1,0],"class_scale":[1.4,1.0],"highest_rung":[4,4],"kind_streams":[30,30],"licence_cap":[6,0],"see":900.0"#,
     attempts: 4,
+    keepalive: 15_000,
     reporting: r#"{"columns":["inflight","x0","x1"],"via":"pull"}"#,
     safety: r#"{"cold":8000.0,"cold_from":0.5,"drain_grace":1000.0,"tip_after":1000.0,"tip_multiple":2.5,"grace_to_answer":40.0,"min_extra":5.0,"extra_ratio":0.2,"look_back":10000.0}"#,
 };
 
 fn configuration(deployment: &Deployment, zones: &str, names: &NameService) -> String {
+    configuration_with_peers(deployment, zones, names, None)
+}
+
+/// The same for the front node with this number, from 0, of several that exchange datagrams.
+fn configuration_with_peers(
+    deployment: &Deployment,
+    zones: &str,
+    names: &NameService,
+    peers: Option<(&PeerNetwork, usize)>,
+) -> String {
+    let (peer_fields, fronts) = match peers {
+        None => (String::new(), 2),
+        Some((network, n)) => {
+            let addresses: Vec<String> = network.peers.iter().map(|p| format!("\"{p}\"")).collect();
+            let fields = format!(
+                r#" "peer_listen":"{}","peers":[{}],"peers_all":"{}","#,
+                network.listen[n],
+                addresses.join(","),
+                network.all
+            );
+            (fields, network.peers.len())
+        }
+    };
+    let peer_messages = peers.is_some();
     let (number, servers) = names.list();
     let instances: Vec<String> = servers
         .iter()
@@ -66,19 +95,21 @@
         .collect();
     format!(
         r#"{{"name":"n1","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":512}},
+{peer_fields}
  "names":"{}",
  "known":{{"no":{number},"items":[{{"no":{number},"roster":{{"generation":1,"reset":true,"instances":[{}]}}}}]}},
- "settings":{{"balancers":2,"classes":[{}],
+ "settings":{{"balancers":{fronts},"classes":[{}],
   "family":"streams","family_info":{{{},"level_kb":[190.0,334.0,589.0,1036.0,1824.0],"level_worth":[0.22,0.44,0.64,0.82,1.0],
    "link_unit_kb":30370.0,"places":12,"racks":2,"uplink_kb":483790.0,"switch_cost_s":0.44}},
   "kinds":["box"],"zones":[{zones}],"realms":[],"registry_mode":"push",
-  "limits":{{"attempts_cap":{},"cancelling":true,"connect_timeout":250.0,"keepalive":30000.0,"max_retry_after":1000.0,"parallel_tries":false,"peer_messages":false,"probes":true,"retry_after":true}},
+  "limits":{{"attempts_cap":{},"cancelling":true,"connect_timeout":250.0,"keepalive":{}.0,"max_retry_after":1000.0,"parallel_tries":false,"peer_messages":{peer_messages},"probes":true,"retry_after":true}},
   "reporting":{},"safety":{}}}}}"#,
         names.address,
         instances.join(",\n   "),
         deployment.classes,
         deployment.family,
         deployment.attempts,
+        deployment.keepalive,
         deployment.reporting,
         deployment.safety,
     )
@@ -179,69 +210,78 @@
     }
 }
 
-/// The answer to a set-up gets lost on one of two connections to a server, which is then of no further use. A session
-/// that was accepted on it ends. Its viewer has to be told within 8 s.
+/// More front nodes than servers, which tell each other of the servers. At one of them, which gets few requests, the
+/// answer to a set-up gets lost after word of its progress, on one of several connections to a server. The connection is
+/// of no further use. A session that was accepted on it ends. Its viewer has to be told within 8 s.
 fn lost_answer(trouble: bool, record: &Record) -> Verdict {
-    let servers = servers(4, 150, record);
-    let names = NameService::start(3, listed(&servers, &["main-building"]), record);
-    let node = Node::start(&configuration(&GUIDES, r#""main-building""#, &names), record);
-    let viewers = Viewers::connect(node.address, record);
-    let noting = servers.clone();
-    std::thread::spawn(move || loop {
-        pause(3_000);
-        noting.iter().for_each(Server::note_link_use);
-    });
-    // Some sessions at once, so that the servers get more than one connection.
+    const FRONTS: usize = 6;
+    let network = PeerNetwork::start(FRONTS, record);
+    // Each front node reaches the servers at addresses of its own.
+    let own = servers(4, 150, record);
+    own.iter().for_each(|s| s.note_link_use_every(3_000));
+    let of_others = servers(4, 60, record);
+    let names = NameService::start(3, listed(&own, &["main-building"]), record);
+    let names_of_others = NameService::start(3, listed(&of_others, &["main-building"]), record);
+    let nodes: Vec<Node> = (0..FRONTS)
+        .map(|n| {
+            let names = if n == 0 { &names } else { &names_of_others };
+            let text = configuration_with_peers(&GUIDES, r#""main-building""#, names, Some((&network, n)));
+            Node::start_named(&format!("n{}", n + 1), &text, record)
+        })
+        .collect();
+    // The other front nodes get a request each second.
+    for (n, node) in nodes.iter().enumerate().skip(1) {
+        let viewers = Viewers::connect(node.address, record);
+        std::thread::spawn(move || {
+            for k in 0..100 {
+                viewers.setup(0x10_0000 * n as u64 + k, 0x90 + k % 8, "web-phone", 5000, 0, 4);
+                pause(1_000);
+            }
+        });
+    }
+    let viewers = Viewers::connect(nodes[0].address, record);
     let mut next = 0x2000;
-    let first: Vec<String> = (0..12).map(|_| {
+    let mut ask = || {
         next += 1;
         viewers.setup(next, 0x99, "web-phone", 5000, 0, 4)
-    }).collect();
+    };
+    pause(2_000);
+    // Some sessions at once, so that the servers get more than one connection.
+    let first: Vec<String> = (0..12).map(|_| ask()).collect();
     if !wait_for(ms(5_000), || first.iter().all(|id| viewers.answer(id).is_some())) {
         return Err("a request was not answered".into());
     }
-    let sessions_on = |s: &Server, conn: u64| -> Vec<String> {
-        s.sessions().into_iter().filter(|(_, standing)| standing.conn == conn).map(|(id, _)| id).collect()
+    let with_sessions =
+        |s: &Server| -> Vec<u64> { s.open_connections().into_iter().filter(|c| !sessions_on(s, *c).is_empty()).collect() };
+    let Some(server) = own.iter().find(|s| with_sessions(s).len() >= 2) else {
+        cannot_run("no server has two connections with sessions")
     };
-    let server = servers.iter().find(|s| {
-        let connections = s.open_connections();
-        connections.len() >= 2 && connections.iter().filter(|c| !sessions_on(s, **c).is_empty()).count() >= 2
-    });
-    let Some(server) = server else { cannot_run("no server has two connections with sessions") };
-    let used: Vec<u64> = server.open_connections().into_iter().filter(|c| !sessions_on(server, *c).is_empty()).collect();
-    let conn = used[0];
+    let conn = with_sessions(server)[0];
     let session = sessions_on(server, conn).remove(0);
     record.line(&format!("{} connection {conn} brought the session {session}", server.name));
     pause(1_000);
     if trouble {
-        server.lose_next_answer_on(conn);
-        for _ in 0..30 {
-            next += 1;
-            viewers.setup(next, 0x99, "web-phone", 5000, 0, 4);
-            pause(500);
-            if server.answer_lost_at().is_some() {
-                break;
-            }
-        }
-        if server.answer_lost_at().is_none() {
-            cannot_run("no SETUP came on the connection");
-        }
-    } else {
-        for _ in 0..5 {
-            next += 1;
-            viewers.setup(next, 0x99, "web-phone", 5000, 0, 4);
-            pause(500);
+        server.lose_next_answer_on(conn, true);
+    }
+    for _ in 0..30 {
+        ask();
+        pause(500);
+        if !trouble || server.answer_lost_at().is_some() {
+            break;
         }
     }
+    if trouble && server.answer_lost_at().is_none() {
+        cannot_run("no SETUP came on the connection");
+    }
     pause(500);
     let ended_at = record.now();
     server.end_session(&session, 16);
-    let told = wait_for(ms(8_050 + 1_000), || viewers.release(&session).is_some());
-    pause(200);
+    wait_for(ms(8_050 + 4_000), || viewers.release(&session).is_some());
+    drop(nodes);
     match viewers.release(&session) {
         Some(event) if event.at <= ended_at + 8_050 => Ok(format!("released {} ms after its end", event.at - ended_at)),
         Some(event) => Err(format!("session {session} was released only {} ms after its end", event.at - ended_at)),
-        None => Err(format!("session {session} ended at {ended_at} ms and was never released (told {told})")),
+        None => Err(format!("session {session} ended at {ended_at} ms and was never released")),
     }
 }
 
@@ -335,3 +375,86 @@
         n => Err(format!("{n} of {} viewers were served with a description that no server made", ids.len())),
     }
 }
+
+/// The sessions of a server that a connection brought, by the time since which they stand.
+fn sessions_on(server: &Server, conn: u64) -> Vec<String> {
+    let sessions = server.sessions();
+    let mut on: Vec<(u64, String)> =
+        sessions.into_iter().filter(|(_, s)| s.conn == conn).map(|(id, s)| (s.since, id)).collect();
+    on.sort();
+    on.into_iter().map(|(_, id)| id).collect()
+}
+
+/// The answer to a set-up gets lost, and its connection is of no further use. The server takes it for open, and sends
+/// the releases of the sessions that were accepted on it there, as they end one after the other. Each viewer has to be
+/// told within 8 s.
+fn busy_dead_connection(trouble: bool, record: &Record) -> Verdict {
+    let servers = servers(4, 150, record);
+    servers.iter().for_each(|s| s.close_idle_after(TOWN_RADIO.keepalive));
+    let names = NameService::start(3, listed(&servers, &["sokolska-hall"]), record);
+    let node = Node::start(&configuration(&TOWN_RADIO, r#""sokolska-hall""#, &names), record);
+    let viewers = Viewers::connect(node.address, record);
+    let mut next = 0x5000;
+    let mut ask = || {
+        next += 1;
+        viewers.setup(next, 0x99, "radio-replays", 5000, 0, 4)
+    };
+    // Some sessions at once, so that the servers get more than one connection, then one after the other.
+    let mut ids: Vec<String> = (0..12).map(|_| ask()).collect();
+    pause(1_500);
+    for _ in 0..16 {
+        ids.push(ask());
+        pause(250);
+    }
+    if !wait_for(ms(5_000), || ids.iter().all(|id| viewers.answer(id).is_some())) {
+        return Err("a request was not answered".into());
+    }
+    let first_connection = |s: &Server| s.open_connections().into_iter().find(|c| sessions_on(s, *c).len() >= 4);
+    let server = servers.iter().find(|s| first_connection(s).is_some() && s.open_connections().len() >= 2);
+    let Some(server) = server else { cannot_run("no server has two connections, and four sessions on the first") };
+    let conn = first_connection(server).unwrap();
+    let sessions = sessions_on(server, conn);
+    record.line(&format!("{} connection {conn} brought {} sessions", server.name, sessions.len()));
+    if trouble {
+        server.lose_next_answer_on(conn, false);
+    }
+    for _ in 0..30 {
+        ask();
+        pause(300);
+        if !trouble || server.answer_lost_at().is_some() {
+            break;
+        }
+    }
+    if trouble && server.answer_lost_at().is_none() {
+        cannot_run("no SETUP came on the connection");
+    }
+    // The sessions end 12 s apart; the last one has then played for 40 s.
+    let lost_at = record.now();
+    let mut ends = Vec::new();
+    for (n, session) in sessions.iter().take(4).enumerate() {
+        while record.now() < lost_at + 2_000 + 12_000 * n as u64 {
+            pause(10);
+        }
+        ends.push((record.now(), session.clone()));
+        server.end_session(session, 16);
+    }
+    let last = &ends.last().unwrap().1;
+    wait_for(ms(8_050 + 1_000), || viewers.release(last).is_some());
+    drop(node);
+    let mut late = Vec::new();
+    for (at, id) in &ends {
+        match viewers.release(id) {
+            Some(event) => {
+                record.line(&format!("session {id} was released {} ms after its end", event.at - at));
+                if event.at > at + 8_050 {
+                    late.push(format!("{id} released {} ms after its end", event.at - at));
+                }
+            }
+            None => late.push(format!("{id} ended at {at} ms and was never released")),
+        }
+    }
+    match late.is_empty() {
+        true => Ok("each session was released within 8 s of its end".into()),
+        false => Err(late.join("; ")),
+    }
+}
--- a/review/stand-ins-2/world.rs
+++ b/review/stand-ins-2/world.rs
@@ -135,6 +135,8 @@
     dead: bool,
     /// Set-ups that are neither answered nor given up.
     pending: Vec<String>,
+    /// When anything was last read from it or written to it.
+    used_at: u64,
 }
 
 #[derive(Default)]
@@ -148,8 +150,9 @@
     fillers: Vec<TcpStream>,
     held: Vec<(u64, Vec<u8>)>,
     answer_delay: u64,
-    /// The answer to the next set-up on this connection is lost, after word of its progress.
+    /// The answer to the next set-up on this connection is lost.
     lose_answer_on: Option<u64>,
+    progress_before_loss: bool,
     lost_at: Option<u64>,
     /// Content-Length of the next answers is smaller than their description by this.
     short_by: usize,
@@ -205,7 +208,7 @@
                     state.last_connection += 1;
                     let conn = state.last_connection;
                     let reading = stream.try_clone().unwrap();
-                    state.connections.insert(conn, ServerConnection { stream, dead: false, pending: Vec::new() });
+                    state.connections.insert(conn, ServerConnection { stream, dead: false, pending: Vec::new(), used_at: self.record.now() });
                     self.record.line(&format!("{} connection {conn} opened", self.name));
                     for (id, cause) in std::mem::take(&mut state.repeat) {
                         self.write_release(&mut state, conn, &id, cause);
@@ -250,6 +253,9 @@
     fn handle(&self, conn: u64, message: Message) {
         let id = message.id();
         let mut state = lock(&self.state);
+        if let Some(connection) = state.connections.get_mut(&conn) {
+            connection.used_at = self.record.now();
+        }
         match message.method() {
             "SETUP" => {
                 let title = message.first.split(' ').nth(1).unwrap_or("").trim_start_matches("rtsp://media/").to_owned();
@@ -258,9 +264,15 @@
                 if state.lose_answer_on == Some(conn) {
                     state.lose_answer_on = None;
                     state.lost_at = Some(self.record.now());
-                    let progress = encode("RTSP/1.0 100 Trying", &[("CSeq", "1".into()), ("Session", id.clone())], "");
-                    self.write(&mut state, conn, &progress);
-                    self.record.line(&format!("{} connection {conn}: 100 sent, answer to {id} lost, connection of no further use", self.name));
+                    if state.progress_before_loss {
+                        let headers = [("CSeq", "1".into()), ("Session", id.clone())];
+                        self.write(&mut state, conn, &encode("RTSP/1.0 100 Trying", &headers, ""));
+                        self.record.line(&format!("{} connection {conn} tells progress of {id}", self.name));
+                    }
+                    self.record.line(&format!(
+                        "{} connection {conn}: the answer to {id} is lost, the connection is of no further use",
+                        self.name
+                    ));
                     state.connections.get_mut(&conn).unwrap().dead = true;
                     return;
                 }
@@ -320,10 +332,32 @@
         self.write(&mut state, conn, &encode("ANNOUNCE rtsp://media/note RTSP/1.0", &rung, ""));
     }
 
+    /// Closes connections that have been idle for a time, as the settings state it: nothing was read or written.
+    pub fn close_idle_after(&self, keepalive: u64) {
+        let server = self.clone();
+        std::thread::spawn(move || loop {
+            sleep(ms(100));
+            let now = server.record.now();
+            lock(&server.state).connections.retain(|conn, connection| {
+                let idle = now >= connection.used_at + keepalive && connection.pending.is_empty();
+                if idle {
+                    server.record.line(&format!("{} closes connection {conn}, idle for {keepalive} ms", server.name));
+                    if !connection.dead {
+                        let _ = connection.stream.shutdown(Shutdown::Both);
+                    }
+                }
+                !idle
+            });
+        });
+    }
+
     fn write(&self, state: &mut ServerState, conn: u64, bytes: &[u8]) {
         if state.cut {
             return state.held.push((conn, bytes.to_vec()));
         }
+        if let Some(connection) = state.connections.get_mut(&conn) {
+            connection.used_at = self.record.now();
+        }
         if let Some(connection) = state.connections.get_mut(&conn).filter(|c| !c.dead) {
             let _ = connection.stream.write_all(bytes);
         }
@@ -350,15 +384,25 @@
         state.repeat.push((id.to_owned(), cause));
     }
 
-    /// Tells how full the link is, in a note on the newest session.
-    pub fn note_link_use(&self) {
+    /// Tells how full the link is, in a note on one session.
+    fn note_link_use(&self) {
         let mut state = lock(&self.state);
-        let newest = state.sessions.iter().max_by_key(|(_, s)| s.since).map(|(id, s)| (id.clone(), s.conn));
-        let Some((id, conn)) = newest else { return };
+        let session = state.sessions.iter().nth(1).or(state.sessions.iter().next());
+        let Some((id, conn)) = session.map(|(id, s)| (id.clone(), s.conn)) else { return };
+        self.record.line(&format!("{} connection {conn} note on {id}", self.name));
         let headers = [("CSeq", "4".into()), ("Session", id), ("X-Why", "nic".into()), ("Figure", "0.2".into())];
         self.write(&mut state, conn, &encode("ANNOUNCE rtsp://media/note RTSP/1.0", &headers, ""));
     }
 
+    /// Sends such a note at each interval.
+    pub fn note_link_use_every(&self, interval: u64) {
+        let server = self.clone();
+        std::thread::spawn(move || loop {
+            sleep(ms(interval));
+            server.note_link_use();
+        });
+    }
+
     /// The process's connections are reset.
     pub fn reset(&self, conn: u64) {
         let removed = lock(&self.state).connections.remove(&conn);
@@ -368,8 +412,10 @@
         }
     }
 
-    pub fn lose_next_answer_on(&self, conn: u64) {
-        lock(&self.state).lose_answer_on = Some(conn);
+    /// The answer to the next set-up on a connection is lost, and the connection is of no further use from then on.
+    pub fn lose_next_answer_on(&self, conn: u64, progress: bool) {
+        let mut state = lock(&self.state);
+        (state.lose_answer_on, state.progress_before_loss) = (Some(conn), progress);
     }
 
     pub fn shorten_lengths_by(&self, bytes: usize) {
@@ -572,6 +618,42 @@
     out
 }
 
+// ---- between front nodes ----
+
+/// The addresses by which front nodes send each other datagrams.
+pub struct PeerNetwork {
+    /// Where each front node listens.
+    pub listen: Vec<SocketAddr>,
+    /// The address of each as the others see it.
+    pub peers: Vec<SocketAddr>,
+    /// Reaches all others.
+    pub all: SocketAddr,
+}
+
+impl PeerNetwork {
+    pub fn start(count: usize, record: &Record) -> PeerNetwork {
+        let bind = || UdpSocket::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&e.to_string()));
+        // Free ports, which the front nodes bind themselves.
+        let reserved: Vec<UdpSocket> = (0..count).map(|_| bind()).collect();
+        let senders: Vec<UdpSocket> = (0..count).map(|_| bind()).collect();
+        let all = bind();
+        let of = |sockets: &[UdpSocket]| sockets.iter().map(|s| s.local_addr().unwrap()).collect::<Vec<_>>();
+        let network = PeerNetwork { listen: of(&reserved), peers: of(&senders), all: all.local_addr().unwrap() };
+        let (listen, record) = (network.listen.clone(), record.clone());
+        std::thread::spawn(move || {
+            let mut buffer = [0; 512];
+            while let Ok((n, from)) = all.recv_from(&mut buffer) {
+                let Some(sender) = listen.iter().position(|l| *l == from) else { continue };
+                record.line(&format!("front node n{} tells the others {n} bytes", sender + 1));
+                for (_, to) in listen.iter().enumerate().filter(|(i, _)| *i != sender) {
+                    let _ = senders[sender].send_to(&buffer[..n], to);
+                }
+            }
+        });
+        network
+    }
+}
+
 // ---- viewers ----
 
 #[derive(Debug, Clone)]
@@ -720,19 +802,23 @@
 
 impl Node {
     pub fn start(configuration: &str, record: &Record) -> Node {
+        Node::start_named("n1", configuration, record)
+    }
+
+    pub fn start_named(name: &str, configuration: &str, record: &Record) -> Node {
         let address = {
             let free = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&e.to_string()));
             SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::LOCALHOST, free.local_addr().unwrap().port()))
         };
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos();
-        let directory = std::env::temp_dir().join(format!("front-node-{}-{unix}", std::process::id()));
+        let directory = std::env::temp_dir().join(format!("front-node-{name}-{}-{unix}", std::process::id()));
         std::fs::create_dir_all(&directory).unwrap_or_else(|e| cannot_run(&e.to_string()));
         std::fs::write(directory.join("config.json"), configuration).unwrap();
         let run = std::env::var("RUN").unwrap_or_else(|_| cannot_run("RUN is not set"));
         let log = std::fs::File::create(directory.join("log")).unwrap();
         let process = Command::new("/bin/sh")
             .args(["-c", &run])
-            .env("NODE_NAME", "n1")
+            .env("NODE_NAME", name)
             .env("NODE_LISTEN", address.to_string())
             .env("NODE_CONFIG", directory.join("config.json"))
             .stdin(Stdio::null())
@@ -741,7 +827,7 @@
             .spawn()
             .unwrap_or_else(|e| cannot_run(&e.to_string()));
         lock(&RUNNING).push(process.id());
-        record.line(&format!("front node started: {run}"));
+        record.line(&format!("front node {name} started: {run}"));
         let node = Node { process, address, directory, record: record.clone() };
         let up = wait_for(ms(10_000), || TcpStream::connect(address).is_ok());
         if !up {
@@ -753,7 +839,7 @@
             cannot_run("the front node does not pass a test");
         }
         viewers.close();
-        record.line("front node ready");
+        record.line(&format!("front node {name} ready"));
         node
     }
 
