review: temporary folders of cases that could not run are removed, prctl declared as it is

Need: a run that ends with 2 left its folder behind, and a variadic function was declared as a plain one. Change: the folders go with the processes; the declaration is right on x86-64 and on arm64.

--- a/review/stand-ins-2/world.rs
+++ b/review/stand-ins-2/world.rs
@@ -14,7 +14,7 @@
 extern "C" {
     fn listen(fd: i32, backlog: i32) -> i32;
     fn kill(pid: i32, signal: i32) -> i32;
-    fn prctl(option: i32, argument: u64) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
 const SIGHUP: i32 = 1;
@@ -692,13 +692,14 @@
 
 // ---- the front node ----
 
-/// Front nodes that run, by process id.
-static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+/// Front nodes that run, by process id, with their folders.
+static RUNNING: Mutex<Vec<(u32, PathBuf)>> = Mutex::new(Vec::new());
 
 /// Ends the front nodes that were started.
 pub fn end_processes() {
-    for id in lock(&RUNNING).drain(..) {
+    for (id, directory) in lock(&RUNNING).drain(..) {
         unsafe { kill(id as i32, SIGKILL) };
+        let _ = std::fs::remove_dir_all(directory);
     }
 }
 
@@ -714,7 +715,7 @@
     fn drop(&mut self) {
         self.signal(SIGKILL);
         let _ = self.process.wait();
-        lock(&RUNNING).retain(|id| *id != self.process.id());
+        lock(&RUNNING).retain(|(id, _)| *id != self.process.id());
         let _ = std::fs::remove_dir_all(&self.directory);
     }
 }
@@ -748,7 +749,7 @@
             .stderr(log)
             .spawn()
             .unwrap_or_else(|e| cannot_run(&e.to_string()));
-        lock(&RUNNING).push(process.id());
+        lock(&RUNNING).push((process.id(), directory.clone()));
         record.line(&format!("front node {name} started: {run}"));
         let node = Node { process, address, directory, record: record.clone() };
         let up = wait_for(ms(10_000), || TcpStream::connect(address).is_ok());
