platform: blank lines behind a body end the connection, as its length was understated

Cause: the message reader skipped CR and LF behind every message, before it checked that what follows starts another one; the rest of an understated body that ends with a line end passed for blank lines.

Change: blank lines are skipped at the start of a stream and behind a message without a body only. Behind a body they are a framing error, so the message is not delivered and its connection is closed.

--- a/crates/platform/src/rtsp.rs
+++ b/crates/platform/src/rtsp.rs
@@ -39,6 +39,9 @@
 #[derive(Debug, Default)]
 pub struct MessageReader {
     buffer: Vec<u8>,
+    /// Whether the last message had a body. Blank lines behind one are the rest of a body whose length was understated;
+    /// elsewhere they are skipped.
+    follows_body: bool,
 }
 
 impl MessageReader {
@@ -60,7 +63,10 @@
 
     /// Returns the next complete message, or `None` until more bytes arrive. After an error the stream is unusable.
     pub fn next_message(&mut self) -> Result<Option<Message>, FramingError> {
-        let blank_len = self.buffer.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
+        let blank_len = leading_blank_len(&self.buffer);
+        if blank_len > 0 && self.follows_body {
+            return Err(FramingError::UnexpectedBytes);
+        }
         self.buffer.drain(..blank_len);
         if self.buffer.is_empty() {
             self.buffer = Vec::new();
@@ -81,7 +87,9 @@
         if self.buffer.len() < message_len {
             return Ok(None);
         }
-        if !may_start_message(&self.buffer[message_len..]) {
+        let (has_body, following) = (message_len > head_len, &self.buffer[message_len..]);
+        let skipped_len = if has_body { 0 } else { leading_blank_len(following) };
+        if !may_start_message(&following[skipped_len..]) {
             return Err(FramingError::UnexpectedBytes);
         }
         let (message, parsed_len) =
@@ -90,6 +98,7 @@
             return Err(FramingError::BadContentLength);
         }
         self.buffer.drain(..message_len);
+        self.follows_body = has_body;
         Ok(Some(message))
     }
 }
@@ -111,10 +120,13 @@
     b"RECORD ",
 ];
 
+/// Number of bytes of blank lines at the start.
+fn leading_blank_len(bytes: &[u8]) -> usize {
+    bytes.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count()
+}
+
 /// Whether the bytes are empty or may be the start of a message, of which any number of bytes may have arrived.
 fn may_start_message(bytes: &[u8]) -> bool {
-    let blank_len = bytes.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
-    let bytes = &bytes[blank_len..];
     MESSAGE_PREFIXES.iter().any(|prefix| {
         let common_len = prefix.len().min(bytes.len());
         prefix[..common_len] == bytes[..common_len]
--- a/crates/platform/tests/codecs.rs
+++ b/crates/platform/tests/codecs.rs
@@ -114,6 +114,42 @@
     reader.next_message().err()
 }
 
+/// Guards against a shortened description that is passed on: its length was understated by 1 or 2 bytes, and the line end
+/// left over was taken for a blank line between messages.
+#[test_case(1, usize::MAX; "by one byte")]
+#[test_case(2, usize::MAX; "by two bytes")]
+#[test_case(2, 1; "by two bytes that arrive later")]
+fn understated_length_is_rejected_whatever_is_left_over(understated_by: usize, chunk_len: usize) {
+    let body = "c=IN IP4 10.4.7.9\r\n";
+    for message in [
+        setup_bytes("9b1f03aa5c7e2d41", VALID_HEADER_LINES, body),
+        viewer::setup_response(1, body.as_bytes()),
+    ] {
+        let length = format!("Content-Length: {}", body.len());
+        let understated = format!("Content-Length: {}", body.len() - understated_by);
+        let text = String::from_utf8(message).unwrap();
+        let following = [text.replace(&length, &understated), text].concat();
+        let mut reader = MessageReader::default();
+        let error = following.as_bytes().chunks(chunk_len.min(following.len())).find_map(|chunk| {
+            reader.push(chunk);
+            reader.next_message().err()
+        });
+        assert_eq!(error, Some(FramingError::UnexpectedBytes));
+    }
+}
+
+/// Blank lines are skipped where they can't belong to a body.
+#[test]
+fn blank_lines_are_skipped_before_a_message_and_behind_one_without_a_body() {
+    let mut reader = MessageReader::default();
+    reader.push(b"\r\n");
+    reader.push(&server::ping_request(1));
+    reader.push(b"\r\n\r\n");
+    reader.push(&server::ping_request(2));
+    let messages = std::iter::from_fn(|| reader.next_message().unwrap());
+    assert_eq!(messages.count(), 2);
+}
+
 #[test]
 fn endless_request_line_is_rejected() {
     let mut reader = MessageReader::default();
