node: each request without an answer is evidence against its own connection

Cause: Liveness::heard cleared the one time since which requests were unanswered, whatever came in: progress, a note, the release of another session, the answer to another request. Input that answers nothing stood for the answers to come.

Change: a connection keeps each request that was sent until its own answer or the confirmation of its withdrawal. The answer to a request sent at a time T shows that the connection worked after T: open requests count from T on, and those given up before T are forgotten. At most 1,024 given up are kept.

--- a/crates/node/src/core/server_connections.rs
+++ b/crates/node/src/core/server_connections.rs
@@ -1,5 +1,5 @@
 //! Connections to servers: which one a message is sent on, and what the end of one implies.
-use super::liveness::Liveness;
+use super::liveness::{Liveness, RequestId};
 use super::{Node, PendingSetup, Stage, TimerEvent};
 use crate::actions::{ConnectionEnd, ConnectionId, IoAction};
 use crate::limits;
@@ -184,7 +184,7 @@
             queued_probes: 0,
             ended_setups: VecDeque::new(),
             unconfirmed_releases: VecDeque::new(),
-            liveness: Liveness::new(),
+            liveness: Liveness::default(),
             opened_at: now,
             last_used_at: now,
         };
@@ -488,7 +488,7 @@
         setup.sent = true;
         if let Some(connection) = self.server_connections.get_mut(&setup.conn) {
             connection.last_used_at = now;
-            connection.liveness.request_sent(now);
+            connection.liveness.request_sent(RequestId::Setup(id), now);
         }
         Some(server::setup_request(request, rung, session.setup_deadline - now))
     }
@@ -496,14 +496,14 @@
     /// Ends an offered SETUP unsent, as its connection can't take it now; another server may be used.
     pub fn setup_blocked(&mut self, id: SessionId, attempt: u32, now: Ms) {
         let Some(setup) = self.pending_setup(id, attempt).filter(|setup| !setup.sent) else { return };
-        self.cancel_setup(id, setup);
+        self.cancel_setup(id, setup, now);
         self.setup_ended(id, SetupOutcome::NeverSent, now);
         self.process_engine_actions(now);
     }
 
     pub(super) fn setup_timed_out(&mut self, id: SessionId, attempt: u32, now: Ms) {
         let Some(setup) = self.pending_setup(id, attempt) else { return };
-        self.cancel_setup(id, setup);
+        self.cancel_setup(id, setup, now);
         let up = self.server_connections.get(&setup.conn).is_some_and(|c| c.up);
         let outcome = match setup.sent {
             true => SetupOutcome::TimedOut,
@@ -515,11 +515,12 @@
     }
 
     /// Cancels a SETUP, with a message to the server if it was sent.
-    pub(super) fn cancel_setup(&mut self, id: SessionId, setup: PendingSetup) {
+    pub(super) fn cancel_setup(&mut self, id: SessionId, setup: PendingSetup, now: Ms) {
         let Some(connection) = self.server_connections.get_mut(&setup.conn) else { return };
         connection.pending_setups.remove(&id);
         if setup.sent {
             connection.record_ended_setup(id);
+            connection.liveness.given_up(RequestId::Setup(id), now);
             self.io_actions
                 .push(IoAction::Write { conn: setup.conn, bytes: server::setup_cancel_request(id.0) });
         }
@@ -596,7 +597,7 @@
         let id = self.rng.u64(..);
         let Some(connection) = self.server_connections.get_mut(&conn) else { return };
         connection.pending_options.insert(id, PendingOptions { purpose, sent_at: now });
-        connection.liveness.request_sent(now);
+        connection.liveness.request_sent(RequestId::Options(id), now);
         let (timeout, bytes) = match purpose {
             OptionsPurpose::Probe => (self.configuration.probe_timeout_ms, server::load_probe_request(id)),
             OptionsPurpose::Ping => (limits::PING_TIMEOUT, server::ping_request(id)),
@@ -611,6 +612,7 @@
         let Some(connection) = self.server_connections.get_mut(&conn) else { return };
         let server_id = connection.server;
         let Some(options) = connection.pending_options.remove(&id) else { return };
+        connection.liveness.given_up(RequestId::Options(id), now);
         if options.purpose == OptionsPurpose::Probe {
             return self.engine.probe_finished(server_id, SetupOutcome::TimedOut, now);
         }
--- a/crates/node/src/core/server_messages.rs
+++ b/crates/node/src/core/server_messages.rs
@@ -1,4 +1,5 @@
 //! Messages from servers: answers to set-ups and probes, ends of sessions, and load reports.
+use super::liveness::RequestId;
 use super::server_connections::{OptionsPurpose, SessionMessage};
 use super::{Node, Session, Stage};
 use crate::actions::{ConnectionId, IoAction};
@@ -63,8 +64,10 @@
                 self.handle_setup_response(conn, server_id, SessionId(id), status, &description, now);
             }
             ServerMessage::OptionsResponse { id, status, report } => {
-                let options =
-                    self.server_connections.get_mut(&conn).and_then(|c| c.pending_options.remove(&id));
+                let options = self.server_connections.get_mut(&conn).and_then(|connection| {
+                    connection.liveness.answered(RequestId::Options(id));
+                    connection.pending_options.remove(&id)
+                });
                 self.record_report(server_id, &report, now);
                 if options.is_some_and(|o| o.purpose == OptionsPurpose::Probe) {
                     let outcome = if status < 300 { SetupOutcome::Done } else { SetupOutcome::Errored };
@@ -92,6 +95,7 @@
             ServerMessage::TeardownResponse { id } => {
                 if let Some(connection) = self.server_connections.get_mut(&conn) {
                     connection.unconfirmed_releases.retain(|(_, released)| released.0 != id);
+                    connection.liveness.withdrawal_confirmed(RequestId::Setup(SessionId(id)));
                 }
             }
             ServerMessage::Ignored => {}
@@ -133,6 +137,7 @@
         now: Ms,
     ) {
         let Some(connection) = self.server_connections.get_mut(&conn) else { return };
+        connection.liveness.answered(RequestId::Setup(id));
         if !connection.pending_setups.remove(&id) {
             let ended_index = connection.ended_setups.iter().position(|e| *e == id);
             let wanted_there = match self.sessions.get(&id).map(|s| &s.stage) {
@@ -217,6 +222,7 @@
                 if let Some(connection) = self.server_connections.get_mut(&conn) {
                     connection.pending_setups.remove(&id);
                     connection.record_ended_setup(id);
+                    connection.liveness.answered(RequestId::Setup(id));
                 }
                 self.setup_ended(id, SetupOutcome::Broken, now);
             }
--- a/crates/node/src/core/viewer_connections.rs
+++ b/crates/node/src/core/viewer_connections.rs
@@ -351,7 +351,7 @@
         self.log_request(id, |_| RequestEvent::Cancelled { age, setups });
         self.engine.viewer_left(id);
         if let Some(setup) = setup {
-            self.cancel_setup(id, setup);
+            self.cancel_setup(id, setup, now);
             let outcome = if setup.sent { SetupOutcome::Withdrawn } else { SetupOutcome::NeverSent };
             self.engine.after_outcome(id, outcome, true, now, &mut self.engine_actions);
         }
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -39,9 +39,11 @@
 /// after it and two sweeps, 6 s pass. Pings are priced as probes and every node sends its own: with a shorter
 /// time, they were six of seven probes of the fleet.
 pub const PING_AFTER_SILENCE: Ms = 4_000.0;
-/// Time without any input after a request, after which other connections to the server are preferred.
+/// Requests on one connection to a server that are remembered as unanswered after they were given up.
+pub const MAX_UNANSWERED_REQUESTS: usize = 1_024;
+/// Time without an answer to a request, after which other connections to the server are preferred.
 pub const DOUBT_AFTER: Ms = 1_200.0;
-/// Time without any input after a request, after which a ping finds out whether the connection still works. SETUPs are
+/// Time without an answer to a request, after which a ping finds out whether the connection still works. SETUPs are
 /// given up by then.
 pub const PING_IN_DOUBT_AFTER: Ms = 3_000.0;
 /// Longest interval between two new connections to a server that may not have noticed the end of an earlier one. It sends
--- a/crates/node/tests/liveness.rs
+++ b/crates/node/tests/liveness.rs
@@ -3,8 +3,10 @@
 mod support;
 
 use support::{
-    configuration_with_peers, release_request, report_servers, setup_request, setup_response, Harness,
+    configuration_with_peers, release_request, report_servers, setup_request, setup_response, withdrawal,
+    Harness,
 };
+use test_case::test_case;
 use walnutline_node::actions::{ConnectionEnd, ConnectionId};
 use walnutline_node::limits;
 
@@ -62,6 +64,56 @@
     assert_eq!(harness.take_written("cause=16").unwrap().0, viewer);
 }
 
+/// A note on a session, which wants no answer.
+fn note(id: u64) -> String {
+    format!(
+        "ANNOUNCE rtsp://media/note RTSP/1.0\r\nCSeq: 4\r\nSession: {id:016x}\r\nX-Why: nic\r\nFigure: 0.2\r\n\
+         Content-Length: 0\r\n\r\n"
+    )
+}
+
+/// Guards against a release that is never heard: an answer is lost after something else has come in on its connection,
+/// which is not tested as long as the server is heard on others. Session 2 was accepted on the dead connection.
+#[test_case(&setup_response(100, 4, ""); "progress")]
+#[test_case(&note(2); "a note")]
+#[test_case(&release_request(77, 16); "the release of another session")]
+fn lost_answer_is_found_whatever_came_in_after_its_request(input: &str) {
+    let mut harness = Harness::new();
+    let (viewer, first, dead) = lose_an_answer_on_the_second_of_two_connections(&mut harness);
+    let address = harness.server_connections[&first];
+    harness.advance(50.0);
+    harness.receive(dead, input);
+    let lost_at = harness.now;
+    harness.connect_times.clear();
+    while harness.connect_times.iter().all(|(.., to)| *to != address)
+        && harness.now - lost_at <= RELEASE_LIMIT
+    {
+        harness.serve(1_000.0, &[dead]);
+        harness.receive(first, &note(1));
+    }
+    assert!(harness.closed.contains(&dead) && harness.now - lost_at <= RELEASE_LIMIT);
+    let newest = harness.connect_times.last().unwrap().1;
+    harness.receive(newest, &release_request(2, 16));
+    assert_eq!(harness.take_written("cause=16").unwrap().0, viewer);
+}
+
+/// Pings cost as much as probes. The answer to a later request on the same connection shows as well as a ping that the
+/// connection outlived one that was given up.
+#[test]
+fn request_given_up_needs_no_ping_once_a_later_one_is_answered() {
+    let mut harness = Harness::new();
+    let viewer = harness.accept_viewer();
+    harness.receive(viewer, &request_for_one_server(1));
+    let (conn, _) = harness.await_setup(1);
+    harness.receive(viewer, &withdrawal(1));
+    harness.advance(300.0);
+    harness.receive(viewer, &request_for_one_server(2));
+    assert_eq!(harness.await_setup(2).0, conn);
+    harness.receive(conn, &setup_response(200, 2, ""));
+    harness.advance(limits::PING_IN_DOUBT_AFTER + 500.0);
+    assert_eq!(harness.take_written("rtsp://media/ping"), None);
+}
+
 /// Guards against a release that is never heard: a server forgets the one connection that this node has to it, while
 /// it is idle. What it answers to other nodes says nothing of that connection.
 #[test]
