node: releases are fetched for as long as a server may use a dead connection

Cause: may_lose_releases counted the idle time-out and 6 s from when the node gave the connection up, and took for granted that the server had closed it by then. Each release and note that the server writes there begins its idle time anew.

Change: a server's state has the latest time at which it may have used a dead connection: as long as a session stands that was accepted on one, or on a connection that is closed by now. Until the idle time-out after that, releases of such sessions are fetched by a new connection every 6 s.

--- a/crates/node/src/core/maintenance.rs
+++ b/crates/node/src/core/maintenance.rs
@@ -98,6 +98,7 @@
     /// that may not work.
     fn sweep_servers(&mut self, now: Ms) {
         self.close_dead_connections(now);
+        self.record_use_of_dead_connections(now);
         let mut close = Vec::new();
         let mut ping = Vec::new();
         let mut connect = Vec::new();
@@ -157,16 +158,31 @@
         due && self.may_lose_releases(server, now)
     }
 
-    /// Whether releases may be lost on a dead connection that the server takes for open: it sends them on the
-    /// connection on which it accepted the session, or on any one if that has been closed. It closes idle connections
-    /// itself after a while.
+    /// Whether releases may be lost on a dead connection that the server takes for open. It sends them on the connection
+    /// on which it accepted the session, or on any one if that has been closed.
     fn may_lose_releases(&self, server: &Server, now: Ms) -> bool {
-        let until = server.dead_connection_at
-            + self.configuration.idle_timeout_ms
-            + limits::MAX_RELEASE_REPEAT_INTERVAL;
-        let accepted_on = server.sessions.iter().map(|id| self.accepted_on(*id));
-        now < until
-            && accepted_on.into_iter().any(|conn| conn.is_none_or(|conn| !server.connections.contains(&conn)))
+        let mut accepted_on = server.sessions.iter().map(|id| self.accepted_on(*id));
+        self.may_hold_dead_connection(server, now)
+            && accepted_on.any(|conn| conn.is_none_or(|conn| !server.connections.contains(&conn)))
+    }
+
+    /// Whether the server may take a dead connection for open: it closes one only once it has not used it for the
+    /// platform's idle time-out. Its last use may have come after the last sweep that could know of it.
+    fn may_hold_dead_connection(&self, server: &Server, now: Ms) -> bool {
+        let idle_timeout = self.configuration.idle_timeout_ms + limits::SWEEP_INTERVAL;
+        now - server.dead_connection_used_at < idle_timeout
+    }
+
+    /// Records which servers may be using a dead connection now: whatever concerns a session may be sent on it as long as
+    /// its release would be.
+    fn record_use_of_dead_connections(&mut self, now: Ms) {
+        let users = self.servers.iter().filter(|(_, server)| self.may_lose_releases(server, now));
+        let users: Vec<ServerId> = users.map(|(id, _)| *id).collect();
+        for id in users {
+            if let Some(server) = self.servers.get_mut(&id) {
+                server.dead_connection_used_at = now;
+            }
+        }
     }
 
     /// The connection on which a server accepted a playing session, unless it was handed over.
--- a/crates/node/src/core/server_connections.rs
+++ b/crates/node/src/core/server_connections.rs
@@ -42,6 +42,8 @@
     /// When a connection was last given up on which nothing came through: the server may take it for open, and may
     /// send releases on it of sessions that began before.
     pub dead_connection_at: Ms,
+    /// The latest time at which the server may have used a connection that was given up in this way.
+    pub dead_connection_used_at: Ms,
     /// No connection is opened before this time, as the last attempt failed.
     pub retry_at: Ms,
     /// When a connection to it was last closed to make room for another.
@@ -295,7 +297,7 @@
     pub(super) fn give_up_dead_connection(&mut self, conn: ConnectionId, now: Ms) {
         let Some(connection) = self.server_connections.get(&conn) else { return };
         if let Some(server) = self.servers.get_mut(&connection.server) {
-            server.dead_connection_at = now;
+            (server.dead_connection_at, server.dead_connection_used_at) = (now, now);
             let line = format!("server {}: connection {} is dead and closed", server.name, conn.0);
             self.io_actions.push(IoAction::Log(line));
         }
--- a/crates/node/src/core/server_list.rs
+++ b/crates/node/src/core/server_list.rs
@@ -183,6 +183,7 @@
             last_connected_at: Ms::NEG_INFINITY,
             lost_connection: false,
             dead_connection_at: Ms::NEG_INFINITY,
+            dead_connection_used_at: Ms::NEG_INFINITY,
             retry_at: Ms::NEG_INFINITY,
             closed_for_room_at: Ms::NEG_INFINITY,
             connect_failures: 0,
--- a/crates/node/tests/liveness.rs
+++ b/crates/node/tests/liveness.rs
@@ -13,6 +13,9 @@
 /// A release has to reach its viewer within 8 s of the session's end.
 const RELEASE_LIMIT: f64 = 8_000.0;
 
+/// Time after which the platform closes idle connections, in the configuration of these tests.
+const IDLE_TIMEOUT: f64 = 30_000.0;
+
 /// A session request that only one server can take.
 fn request_for_one_server(id: u64) -> String {
     setup_request(id, "").replace("copies:2", "copies:1")
@@ -64,6 +67,27 @@
     assert_eq!(harness.take_written("cause=16").unwrap().0, viewer);
 }
 
+/// Guards against a release that is never heard: the server goes on using a dead connection, for what concerns the
+/// sessions that it accepted there, and closes it as idle only a while after the last of them has ended.
+#[test]
+fn releases_are_fetched_for_as_long_as_a_session_of_a_dead_connection_stands() {
+    let mut harness = Harness::new();
+    let (_, first, dead) = lose_an_answer_on_the_second_of_two_connections(&mut harness);
+    let address = harness.server_connections[&first];
+    let began_at = harness.now;
+    while harness.now - began_at < 4.0 * IDLE_TIMEOUT {
+        harness.serve(1_000.0, &[dead]);
+        harness.receive(first, &note(1));
+        let opened = harness.connect_times.iter().rfind(|(.., to)| *to == address);
+        let last_opened_at = opened.map_or(began_at, |(at, ..)| *at);
+        assert!(harness.now - last_opened_at <= RELEASE_LIMIT, "{:?}", harness.connect_times);
+    }
+    harness.receive(first, &release_request(2, 16));
+    harness.connect_times.clear();
+    harness.serve(IDLE_TIMEOUT, &[dead]);
+    assert!(harness.connect_times.is_empty(), "{:?}", harness.connect_times);
+}
+
 /// A note on a session, which wants no answer.
 fn note(id: u64) -> String {
     format!(
