node: viewers are read by fair queueing, after servers, so that a flood delays few

Callers saw: beside clients that send without pause usual viewers were answered late: 400 clients with heads of 2,600 fields p99 399 ms, 8 with SETUP and TEARDOWN at once p99 865 ms and up to 245 of 422 refused, alone p99 46 ms.

Cause: the core was busy, and connections were read in the order of their arrival, each once a round: a request, and each answer of a server, waited for a turn of all others. Answers that waited counted as timed out, and servers were set aside.

Change: servers' connections are read first; viewers' by start-time fair queueing over the bytes that they send, with up to one message of credit. Reading of either is limited to 10 ms a round.

Evidence: usual_viewers_are_answered_in_time_beside_clients_with_long_heads (start target 800 ms) fails on the old code and passes.

--- a/crates/cli/tests/flood.rs
+++ b/crates/cli/tests/flood.rs
@@ -6,7 +6,7 @@
 
 use node::*;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
@@ -25,6 +25,15 @@
 /// The platform's drain grace, with what it allows for sockets.
 const DRAIN_LIMIT: Duration = Duration::from_millis(300);
 
+/// Descriptors of the node beside clients with long heads, which leave room for some hundreds of them.
+const MANY_DESCRIPTORS: usize = 1_024;
+/// Clients that send long heads without pause.
+const LONG_HEAD_CLIENTS: u64 = 200;
+/// Header fields of such a head, which is just below the limit on messages.
+const SHORT_FIELDS: usize = 2_500;
+/// Start target of the usual viewers' class, in its configuration.
+const START_TARGET: Duration = Duration::from_millis(800);
+
 /// A request for a title that no server holds, which is refused at once.
 fn refused_request(id: u64) -> String {
     setup_request(id).replace("home:0", "home:5")
@@ -48,6 +57,64 @@
     }
 }
 
+/// Sends the same message without pause and reads whatever comes back, until `stopped`. Connects again where the node
+/// closes the connection.
+fn repeat_message(node: SocketAddr, message: &str, stopped: &Arc<AtomicBool>) {
+    while !stopped.load(Ordering::Relaxed) {
+        let Ok(mut stream) = TcpStream::connect(node) else { continue };
+        let mut answers = stream.try_clone().unwrap();
+        std::thread::spawn(move || {
+            let mut buffer = [0; 4_096];
+            while answers.read(&mut buffer).is_ok_and(|n| n > 0) {}
+        });
+        stream.set_write_timeout(Some(RECEIVE_TIMEOUT)).unwrap();
+        while !stopped.load(Ordering::Relaxed) && stream.write_all(message.as_bytes()).is_ok() {}
+        let _ = stream.shutdown(Shutdown::Both);
+    }
+}
+
+/// Guards against answers that are late or never come: each usual request, and each answer of a server, waited until all
+/// clients that send long heads had been read, and at the limit of connections usual viewers were closed for them.
+#[test]
+fn usual_viewers_are_answered_in_time_beside_clients_with_long_heads() {
+    let node = TestNode::start_with_descriptors(MANY_DESCRIPTORS, |text| {
+        with_room_for_all_sessions(text)
+            .replace("\"sockets\":128", &format!("\"sockets\":{MANY_DESCRIPTORS}"))
+    });
+    let stopped = Arc::new(AtomicBool::new(false));
+    let long_head = refused_request(1)
+        .replace("board-loop", "nobody")
+        .replace("Content-Length", &("a: \r\n".repeat(SHORT_FIELDS) + "Content-Length"));
+    let mut viewers: Vec<_> = (0..USUAL_VIEWERS).map(|_| Connection::new(node.connect_viewer())).collect();
+    for (number, viewer) in (0..).zip(&mut viewers) {
+        viewer.send(&setup_request(number));
+        assert!(viewer.receive().starts_with("RTSP/1.0 200"));
+    }
+    let clients: Vec<_> = (0..LONG_HEAD_CLIENTS)
+        .map(|_| {
+            let (address, message, stopped) = (node.address, long_head.clone(), stopped.clone());
+            std::thread::spawn(move || repeat_message(address, &message, &stopped))
+        })
+        .collect();
+    std::thread::sleep(Duration::from_secs(1));
+    let mut slowest = Duration::ZERO;
+    for round in 1..=30 {
+        let sent_at = Instant::now();
+        for (number, viewer) in (0..).zip(&mut viewers) {
+            viewer.send(&setup_request((round << 32) + number));
+        }
+        for viewer in &mut viewers {
+            let answer = viewer.receive();
+            assert!(answer.starts_with("RTSP/1.0 200"), "{answer}");
+            slowest = slowest.max(sent_at.elapsed());
+        }
+        std::thread::sleep(REQUEST_INTERVAL);
+    }
+    stopped.store(true, Ordering::Relaxed);
+    clients.into_iter().for_each(|client| client.join().unwrap());
+    assert!(slowest <= START_TARGET, "an answer took {slowest:?}");
+}
+
 /// The configuration with servers and links that all sessions fit on.
 fn with_room_for_all_sessions(configuration: String) -> String {
     configuration
--- a/crates/cli/tests/support/node.rs
+++ b/crates/cli/tests/support/node.rs
@@ -47,13 +47,27 @@
 
     /// The same, with the configuration that `edit_configuration` returns.
     pub fn start_configured(edit_configuration: impl Fn(String) -> String) -> TestNode {
+        TestNode::start_with_descriptors(128, edit_configuration)
+    }
+
+    /// The same, with a limit on its descriptors, which the configuration has to state as well.
+    pub fn start_with_descriptors(
+        max_descriptors: usize,
+        edit_configuration: impl Fn(String) -> String,
+    ) -> TestNode {
         let server = TcpListener::bind("127.0.0.1:0").unwrap();
         let (request_sender, server_requests) = channel();
         let server_address = server.local_addr().unwrap();
         let server_mode = Arc::new(AtomicU8::new(SERVER_ANSWERS));
         let mode = server_mode.clone();
         std::thread::spawn(move || run_automatic_server(server, &request_sender, &mode));
-        TestNode::start_with(server_address, server_mode, server_requests, 128, edit_configuration)
+        TestNode::start_with(
+            server_address,
+            server_mode,
+            server_requests,
+            max_descriptors,
+            edit_configuration,
+        )
     }
 
     /// Starts a node with a scripted server, a limit on its descriptors, and the configuration that
--- a/crates/node/src/edge/hub.rs
+++ b/crates/node/src/edge/hub.rs
@@ -1,5 +1,6 @@
 //! The one thread that owns the core and all sockets. It polls the sockets, passes everything received to the
 //! core, and performs the core's actions at once.
+use super::read_queue::ReadQueue;
 use super::socket::{PeerRole, PeerState, ReadResult, Socket};
 use super::{Clock, HubMessage};
 use crate::actions::{ConnectionEnd, ConnectionId, IoAction};
@@ -7,7 +8,7 @@
 use crate::limits;
 use mio::net::{TcpListener, UdpSocket};
 use mio::{Events, Interest, Poll, Token};
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::io::{self, ErrorKind};
 use std::net::{Shutdown, SocketAddr};
 use std::sync::mpsc::Receiver;
@@ -87,7 +88,7 @@
     /// No connection is accepted before this time.
     accept_not_before: Ms,
     /// Connections that may have data to read.
-    read_queue: VecDeque<ConnectionId>,
+    read_queue: ReadQueue,
     /// Connections with a write backlog.
     backlogged: Vec<ConnectionId>,
     held_setups: Vec<HeldSetup>,
@@ -143,7 +144,7 @@
             viewer_count: 0,
             accept_pending: true,
             accept_not_before: Ms::NEG_INFINITY,
-            read_queue: VecDeque::new(),
+            read_queue: ReadQueue::default(),
             backlogged: Vec::new(),
             held_setups: Vec::new(),
             last_wakeup: clock.now(),
@@ -217,43 +218,49 @@
         let now = self.clock.now();
         if let Some(socket) = self.sockets.get_mut(&conn).filter(|s| s.queued_at.is_none()) {
             socket.queued_at = Some(now);
-            self.read_queue.push_back(conn);
+            match socket.peer_role {
+                PeerRole::Server => self.read_queue.push_server(conn),
+                PeerRole::Viewer => self.read_queue.push_viewer(conn),
+            }
         }
     }
 
-    /// Reads from the connections of the read queue, each once, for a limited time: datagrams, timers and new connections
-    /// have their turn whatever peers send. The rest of the queue is read in the next round.
+    /// Reads from the connections to servers in the read queue, and then from viewers' connections, each for a limited
+    /// time: datagrams, timers and new connections have their turn whatever viewers send. The rest of the queue
+    /// is read in the next round.
     fn read_connections(&mut self) {
         let ends_at = self.last_wakeup + limits::MAX_READ_TIME;
-        for _ in 0..self.read_queue.len() {
-            self.read_next();
+        for _ in 0..self.read_queue.server_count() {
+            let Some(conn) = self.read_queue.pop_server() else { break };
+            self.read_connection(conn);
+            if self.clock.now() >= ends_at {
+                break;
+            }
+        }
+        let ends_at = self.clock.now() + limits::MAX_READ_TIME;
+        for _ in 0..self.read_queue.viewer_count() {
+            let Some(conn) = self.read_queue.pop_viewer() else { return };
+            let bytes_read = self.read_connection(conn);
+            self.read_queue.charge_viewer(conn, bytes_read);
             if self.clock.now() >= ends_at {
                 return;
             }
         }
     }
 
-    /// Reads from the first connection of the read queue. The amount is limited, so that the others are not
-    /// delayed; a connection that may have more is queued again.
-    fn read_next(&mut self) {
-        let Some(conn) = self.read_queue.pop_front() else { return };
-        let Some(socket) = self.sockets.get_mut(&conn) else { return };
+    /// Reads from a connection and returns how many bytes. The amount is limited, so that the others are not delayed; a
+    /// connection that may have more is queued again.
+    fn read_connection(&mut self, conn: ConnectionId) -> usize {
+        let Some(socket) = self.sockets.get_mut(&conn) else { return 0 };
         // A request may have waited for several rounds, which counts towards its viewer's wait.
         let received_at = socket.queued_at.take().unwrap_or(self.last_wakeup);
-        if socket.connecting {
-            match socket.check_connected() {
-                Ok(false) => return,
-                Ok(true) => {
-                    self.node.server_connected(conn, self.clock.now());
-                    self.perform_actions();
-                }
-                Err(e) => return self.connection_ended(conn, connect_error_end(&e)),
-            }
+        if socket.connecting && !self.finish_connecting(conn) {
+            return 0;
         }
         let mut buffer = [0; limits::READ_BUFFER_BYTES];
         let mut bytes_read = 0;
         while bytes_read < limits::MAX_BYTES_PER_TURN {
-            let Some(socket) = self.sockets.get_mut(&conn) else { return };
+            let Some(socket) = self.sockets.get_mut(&conn) else { return bytes_read };
             match socket.read(&mut buffer) {
                 ReadResult::Bytes(n) => {
                     bytes_read += n;
@@ -263,11 +270,32 @@
                     // has received the answer.
                     self.perform_actions();
                 }
-                ReadResult::WouldBlock => return,
-                ReadResult::Ended(end) => return self.connection_ended(conn, end),
+                ReadResult::WouldBlock => return bytes_read,
+                ReadResult::Ended(end) => {
+                    self.connection_ended(conn, end);
+                    return bytes_read;
+                }
             }
         }
         self.queue_for_reading(conn);
+        bytes_read
+    }
+
+    /// Reports a connection to a server that has been established, or could not be. Returns whether it is established.
+    fn finish_connecting(&mut self, conn: ConnectionId) -> bool {
+        let Some(socket) = self.sockets.get_mut(&conn) else { return false };
+        match socket.check_connected() {
+            Ok(false) => false,
+            Ok(true) => {
+                self.node.server_connected(conn, self.clock.now());
+                self.perform_actions();
+                true
+            }
+            Err(e) => {
+                self.connection_ended(conn, connect_error_end(&e));
+                false
+            }
+        }
     }
 
     /// Removes a connection that has ended, or could not be established, and reports it to the core.
@@ -280,6 +308,7 @@
 
     fn remove_socket(&mut self, conn: ConnectionId) -> Option<Socket> {
         let socket = self.sockets.remove(&conn)?;
+        self.read_queue.remove_viewer(conn);
         self.viewer_count -= usize::from(socket.peer_role == PeerRole::Viewer);
         Some(socket)
     }
--- a/crates/node/src/edge/mod.rs
+++ b/crates/node/src/edge/mod.rs
@@ -1,11 +1,13 @@
 //! Sockets, threads and signals around the core. All decisions are made in the core.
 //!
 //! - [`hub`]: the one thread that owns the core and polls all sockets.
+//! - [`read_queue`]: the order in which connections are read.
 //! - [`socket`]: a non-blocking TCP connection with its write backlog.
 //!
 //! Signals are received on the thread that calls [`run`], and configuration files are read on a thread of
 //! their own, so that neither delays the other or the hub.
 mod hub;
+mod read_queue;
 mod socket;
 
 use mio::net::UdpSocket;
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -110,7 +110,8 @@
 /// Bytes read from one connection before the others are served, so that a peer that sends without pause delays no
 /// other.
 pub const MAX_BYTES_PER_TURN: usize = READ_BUFFER_BYTES;
-/// Longest time for which connections are read before datagrams and timers are served. The last turn may exceed it.
+/// Longest time for which connections to servers, and then those of viewers, are read before datagrams and timers are
+/// served. The last turn may exceed it.
 pub const MAX_READ_TIME: Ms = 10.0;
 
 /// Returns the number of viewers' connections held at once, for a limit on sockets and the number of servers
