--- a/crates/node/src/core/server_connections.rs
+++ b/crates/node/src/core/server_connections.rs
@@ -412,11 +412,9 @@
         let Some(server) = self.servers.get(&server_id) else {
             return self.setup_ended(id, SetupOutcome::NoConnection, now);
         };
-        // Not a connection on which an earlier SETUP of this session was cancelled: the answer to that one
-        // may still come and would be taken for this one's.
-        let first_attempt = session.setup_count == 0;
-        let usable =
-            self.connections_of(server).filter(|(_, c)| first_attempt || !c.ended_setups.contains(&id));
+        // Not a connection on which an earlier SETUP under this id was cancelled: the answer to that one may still come
+        // and would be taken for this one's. The id may be that of a request that has ended.
+        let usable = self.connections_of(server).filter(|(_, c)| !c.ended_setups.contains(&id));
         let best = usable.map(|(conn, c)| (c.load(now), conn)).min();
         let free = best.filter(|(load, _)| !load.in_doubt && load.pending_setups == 0);
         let may_connect = best.is_none()
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -8,6 +8,7 @@
 use crate::api::{DueActions, PeerReport, Placement, SetupOutcome, PEER_REPORTS_PER_MESSAGE};
 use crate::fleet::{ListEntry, Measurement, Server, ServerState, SharedLink};
 use crate::ids::{Ms, RackId, ServerId, SessionId};
+use crate::past_setups::PastSetup;
 use crate::sessions::{Load, Session, SessionTable};
 use crate::settings::{KeyScope, ListDelivery, RepeatPolicy, ReportColumn, WeightKind};
 use crate::state::{ForeignLoad, FrontState};
@@ -521,15 +522,16 @@
     /// Whether a SETUP to this server cannot set the session up twice.
     fn setup_is_safe(&self, session: &Session, server: &Server, now: Ms) -> bool {
         let group = &self.settings.service_groups[session.group.0 as usize];
-        let Some((first, sent_at)) = session.first_uncertain_setup else { return true };
+        let Some(first) = session.first_uncertain_setup else { return true };
         match group.repeat {
             RepeatPolicy::Safe => true,
             RepeatPolicy::Once => false,
             RepeatPolicy::Keyed(scope) => {
                 let same = |key: fn(&ListEntry) -> u32| {
-                    self.fleet.servers.get(&first).is_some_and(|f| key(&f.entry) == key(&server.entry))
+                    let first = self.fleet.servers.get(&first.server);
+                    first.is_some_and(|first| key(&first.entry) == key(&server.entry))
                 };
-                now - sent_at < group.key_window
+                now - first.sent_at < group.key_window
                     && match scope {
                         KeyScope::All => true,
                         KeyScope::Zone => same(|entry| entry.zone.0 as u32),
@@ -870,6 +872,13 @@
     ) -> Placement {
         let Some(session) = table.sessions.get_mut(&id) else { return Placement::NoAction };
         let Some(server) = session.server.take() else { return Placement::NoAction };
+        if !outcome.never_ran() {
+            let setup = PastSetup { server, sent_at: session.setup_sent_at };
+            let first = *session.first_uncertain_setup.get_or_insert(setup);
+            if self.settings.service_groups[session.group.0 as usize].repeat != RepeatPolicy::Safe {
+                self.past_setups.record(id, first, now);
+            }
+        }
         if session.playing || session.answered {
             let played = session.playing;
             table.sessions.remove(&id);
@@ -878,9 +887,6 @@
             }
             return Placement::NoAction;
         }
-        if !outcome.never_ran() && session.first_uncertain_setup.is_none() {
-            session.first_uncertain_setup = Some((server, session.setup_sent_at));
-        }
         session.tried_servers.push(server);
         // An error counts against the server once another one takes the session, or if no other may be tried.
         // Else it counts against the session: one that no server can use would set aside each server that it
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod choice;
 pub mod fleet;
 pub mod ids;
+pub mod past_setups;
 pub mod recent_events;
 pub mod sessions;
 pub mod settings;
--- a/src/sessions.rs
+++ b/src/sessions.rs
@@ -1,6 +1,7 @@
 //! The sessions of one front: requests not yet answered, pending SETUPs and playing sessions.
 use crate::api::Holders;
 use crate::ids::{GroupIndex, Ms, ServerId, SessionId, TitleId};
+use crate::past_setups::PastSetup;
 use crate::settings::PolicySettings;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -44,8 +45,8 @@
     pub previous_kb_per_s: f64,
     /// When the rate last changed.
     pub rate_changed_at: Ms,
-    /// The first SETUP that may have run: its server, and when it was sent.
-    pub first_uncertain_setup: Option<(ServerId, Ms)>,
+    /// The first SETUP that may have run.
+    pub first_uncertain_setup: Option<PastSetup>,
     /// When a held session is to be placed again.
     pub held_until: Option<Ms>,
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,7 @@
 use crate::api::Request;
 use crate::fleet::{Fleet, ListEntry, Server, ServerState};
 use crate::ids::{Ms, ServerId, SessionId};
+use crate::past_setups::PastSetups;
 use crate::recent_events::RecentEvents;
 use crate::sessions::{Session, SessionTable};
 use crate::settings::PolicySettings;
@@ -30,6 +31,9 @@
     pub recent_requests: RecentEvents,
     /// Retries sent, as far back as the retry budget counts them.
     pub recent_retries: RecentEvents,
+    /// SETUPs that may have run, of groups whose sessions may not be set up twice anywhere: a request that has ended may
+    /// come again under its id.
+    pub past_setups: PastSetups,
     pub foreign_load: ForeignLoad,
     /// Changes of rung that were not handed out yet.
     pub rung_changes: Vec<(SessionId, u8)>,
@@ -64,6 +68,7 @@
             last_call_at: now,
             recent_requests: RecentEvents::default(),
             recent_retries: RecentEvents::default(),
+            past_setups: PastSetups::default(),
             foreign_load: ForeignLoad::default(),
             rung_changes: Vec::new(),
             pending_probes: Vec::new(),
@@ -112,7 +117,8 @@
             self.recent_requests.record(now, budget.window);
         }
         self.requests_since_peer_report = self.requests_since_peer_report.map(|n| n + 1.0);
-        table.sessions.insert(id, self.new_session(request, now));
+        let first_uncertain_setup = self.past_setups.get(id);
+        table.sessions.insert(id, Session { first_uncertain_setup, ..self.new_session(request, now) });
     }
 
     /// Records a session that already played when the front started.
