node: viewers that have left go before idle ones at the limit of connections

Callers saw: beside 400 clients that don't read and connect again, usual viewers' connections were closed, and 137 of 411 requests stayed without an answer.

Cause: connections whose viewer has left stay open until all that it sent has been read, and unread data kept them from being closed for room. New connections are read before busy ones, so that more of them pile up.

Change: a viewer that has left is closed for room before any that is there.

--- a/crates/node/src/core/viewer_connections.rs
+++ b/crates/node/src/core/viewer_connections.rs
@@ -39,6 +39,8 @@
 enum Standing {
     /// It has brought invalid requests, and never a valid set-up.
     Invalid,
+    /// Its viewer has left, though not all that it sent has been read.
+    Left,
     /// It has brought nothing yet.
     Silent,
     /// It has brought a set-up, and nothing since its last message.
@@ -51,6 +53,7 @@
     fn standing(&self) -> Standing {
         match (self.has_sent_setup, self.partial_since.is_some()) {
             (false, _) if self.has_sent_invalid => Standing::Invalid,
+            _ if self.has_left => Standing::Left,
             (_, true) => Standing::Receiving,
             (true, false) => Standing::Idle,
             (false, false) => Standing::Silent,
@@ -83,7 +86,8 @@
     }
 
     /// Closes the connection that matters least, and returns whether there was one. The edge is asked to close it unless
-    /// data is on its way, as a set-up may be in it; of a client that brings invalid requests alone, none is expected.
+    /// data is on its way, as a set-up may be in it. None is expected of a client that brings invalid requests alone, or of
+    /// a viewer that has left.
     pub(super) fn close_least_used_viewer(&mut self, now: Ms) -> bool {
         let idle = self
             .viewers
@@ -94,7 +98,7 @@
         });
         let Some((conn, standing)) = victim.map(|(conn, v)| (*conn, v.standing())) else { return false };
         match standing {
-            Standing::Invalid => self.close_viewer_connection(conn, now),
+            Standing::Invalid | Standing::Left => self.close_viewer_connection(conn, now),
             _ => self.io_actions.push(IoAction::CloseIfIdle { conn }),
         }
         true
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -109,6 +109,24 @@
     assert!(!harness.closed.is_empty() && !harness.closed.contains(&viewer));
 }
 
+/// Guards against requests that are never answered: at the limit of connections, viewers were closed while others that had
+/// left, with much of what they had sent unread, were kept.
+#[test]
+fn viewer_is_not_closed_for_room_while_others_have_left() {
+    let mut harness = Harness::new();
+    let (viewer, _) = harness.start_session(1);
+    harness.closed.clear();
+    let refused = setup_request(9, "").replace("home:0", "home:5");
+    for _ in 0..2 * harness.node.max_viewer_connections() {
+        let client = harness.accept_viewer();
+        harness.receive(client, &refused);
+        harness.unread_viewers.push(client);
+        harness.node.viewer_left(client, harness.now);
+        harness.advance(1.0);
+    }
+    assert!(!harness.closed.is_empty() && !harness.closed.contains(&viewer));
+}
+
 #[test]
 fn setups_beyond_the_limit_of_a_connection_are_refused() {
     let mut harness = Harness::new();
