node: a SETUP held back for its viewer's unread data is dropped with its server

Callers see: a SETUP to a server that has left the list or drains, if what was unread from its viewer took until then to be read.

Cause: when the list changes, only SETUPs that wait for a connection were ended; one that waits for its viewer's data on an open connection was sent later.

Change: every SETUP that has not been sent is ended and placed anew.

Evidence: setup_held_back_for_unread_data_is_not_sent_to_a_removed_server fails without the change and passes.

--- a/crates/node/src/core/server_list.rs
+++ b/crates/node/src/core/server_list.rs
@@ -1,13 +1,13 @@
 //! The list of servers, kept up to date by queries to the name service.
 use super::server_connections::Server;
-use super::Node;
+use super::{Node, Stage};
 use crate::actions::{ConnectionId, IoAction};
 use crate::limits;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use walnutline::api::SetupOutcome;
 use walnutline::fleet::{ListEntry, ServerState};
-use walnutline::ids::{CellId, KindIndex, Ms, ServerId, SessionId, ZoneIndex};
+use walnutline::ids::{CellId, KindIndex, Ms, ServerId, ZoneIndex};
 use walnutline_platform::configuration::Configuration;
 use walnutline_platform::{discovery, ServerRecord};
 use walnutline_sessions::backoff::Backoff;
@@ -135,12 +135,19 @@
         ZoneIndex(u16::try_from(index).unwrap_or(u16::MAX))
     }
 
-    /// Ends the SETUPs that wait for a connection to a server that no longer accepts new sessions.
+    /// Ends the SETUPs to servers that no longer accept new sessions, as far as they have not been sent: they wait for a
+    /// connection, or for what is unread from their viewer.
     fn cancel_unsent_setups(&mut self, now: Ms) {
         let ready = |id: &ServerId| self.servers.get(id).is_some_and(|s| s.list_state == ServerState::Ready);
-        let opening = self.server_connections.values_mut().filter(|c| !c.up && !ready(&c.server));
-        let waiting: Vec<SessionId> = opening.flat_map(|c| std::mem::take(&mut c.pending_setups)).collect();
-        waiting.into_iter().for_each(|id| self.setup_ended(id, SetupOutcome::NeverSent, now));
+        let pending = self.sessions.iter().filter_map(|(id, session)| match &session.stage {
+            Stage::Pending { setup: Some(setup), .. } => Some((*id, *setup)),
+            _ => None,
+        });
+        let unsent: Vec<_> = pending.filter(|(_, setup)| !setup.sent && !ready(&setup.server)).collect();
+        for (id, setup) in unsent {
+            self.cancel_setup(id, setup, now);
+            self.setup_ended(id, SetupOutcome::NeverSent, now);
+        }
     }
 
     /// Updates or adds the server of a record of the list, and returns its id. If its process or its address
--- a/crates/node/tests/removed_servers.rs
+++ b/crates/node/tests/removed_servers.rs
@@ -76,3 +76,20 @@
     let took = time_to_releases(&mut harness, &old);
     assert!(LIST_DELAY + took <= RELEASE_LIMIT, "{took} ms after the list");
 }
+
+/// Guards against a SETUP to a server that has left the list: it was held back for unread data of its viewer meanwhile.
+#[test]
+fn setup_held_back_for_unread_data_is_not_sent_to_a_removed_server() {
+    let mut harness = Harness::new();
+    let (viewer, _) = harness.start_session(1);
+    harness.advance(500.0);
+    harness.unread_viewers.push(viewer);
+    harness.receive(viewer, &setup_request(2, ""));
+    harness.answer_probes();
+    harness.advance(20.0);
+    assert_eq!(harness.take_written("SETUP"), None, "it is held back");
+    remove_all_servers(&mut harness);
+    harness.unread_viewers.clear();
+    harness.advance(20.0);
+    assert!(!harness.written.iter().any(|(_, text)| text.starts_with("SETUP")), "{:?}", harness.written);
+}
