node: what a new server accepted before it was listed moves to it from the old one

Callers see: a new server comes up at the address of one that has gone, and accepts a session before the list tells of either. Once that connection ends, the session is told as cut while it plays on; a viewer that comes again makes it run twice.

Cause: connections and sessions belong to the id under which they were opened. A connection that led to the new process stayed with the old id, and sessions of servers that have gone end with their last connection.

Change: when the list tells that a server has gone and another one is at its address, connections that were opened after the new one's start move to it, with their sessions, SETUPs and unsent messages, in the decisions too.

Evidence: session_that_a_new_server_accepted_before_it_was_listed_is_its_own (simulated time) fails on the old code and passes. No trial with real processes.

--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -7,6 +7,7 @@
 //! - [`liveness`]: what is known of the liveness of one connection.
 //! - [`server_messages`]: servers' messages.
 //! - [`server_list`]: the list of servers, kept up to date by queries to the name service.
+//! - [`replaced_servers`]: servers at the address of one that has gone.
 //! - [`peers`]: load reports between front nodes.
 //! - [`maintenance`]: timers: overdue, idle and silent peers.
 //! - [`shutdown`]: the end of the node.
@@ -16,6 +17,7 @@
 mod liveness;
 mod maintenance;
 mod peers;
+mod replaced_servers;
 mod server_connections;
 mod server_list;
 mod server_messages;
--- a/crates/node/src/core/server_list.rs
+++ b/crates/node/src/core/server_list.rs
@@ -109,14 +109,15 @@
                 started_at: record.started_unix_ms,
             });
         }
+        self.engine.replace_server_list(entries);
         let gone: Vec<ServerId> =
             self.servers.keys().filter(|id| !listed_ids.contains(id)).copied().collect();
-        for id in gone {
-            let Some(s) = self.servers.get_mut(&id) else { continue };
+        for id in &gone {
+            let Some(s) = self.servers.get_mut(id) else { continue };
             s.list_state = ServerState::Gone;
-            self.end_orphaned_sessions(id, now);
         }
-        self.engine.replace_server_list(entries);
+        self.move_to_successors(&gone);
+        gone.into_iter().for_each(|id| self.end_orphaned_sessions(id, now));
         self.cancel_unsent_setups(now);
     }
 
--- a/crates/node/tests/removed_servers.rs
+++ b/crates/node/tests/removed_servers.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use std::net::SocketAddr;
-use support::{setup_request, setup_response, Harness};
+use support::{release_request, setup_request, setup_response, Harness};
 use walnutline_node::actions::{ConnectionEnd, ConnectionId};
 
 /// A release has to reach its viewer within 8 s of the session's end.
@@ -93,3 +93,48 @@
     harness.advance(20.0);
     assert!(!harness.written.iter().any(|(_, text)| text.starts_with("SETUP")), "{:?}", harness.written);
 }
+
+/// Guards against a session that plays on and is told as cut, and may then run twice: a new server came up at the address of
+/// one that had gone, before the list told of it, and what it accepted was taken for the old one's.
+#[test]
+fn session_that_a_new_server_accepted_before_it_was_listed_is_its_own() {
+    let mut harness = Harness::new();
+    let viewer = harness.accept_viewer();
+    let for_one_server = |id| setup_request(id, "").replace("copies:2", "copies:1");
+    harness.receive(viewer, &for_one_server(1));
+    let (old, _) = harness.await_setup(1);
+    harness.receive(old, &setup_response(200, 1, ""));
+    let address = harness.server_connections[&old];
+    let std::net::IpAddr::V4(ip) = address.ip() else { panic!("{address}") };
+    harness.serve(1_500.0, &[]);
+    harness.connect_at_once = false;
+    harness.close(old, ConnectionEnd::Closed);
+    let new = harness.connecting.pop().expect("a connection in place of the lost one");
+    let started = format!("started={}", harness.now);
+    harness.node.server_connected(new, harness.now);
+    harness.perform_actions();
+    harness.connect_at_once = true;
+    harness.receive(viewer, &for_one_server(2));
+    assert_eq!(harness.await_setup(2).0, new);
+    harness.receive(new, &setup_response(200, 2, ""));
+    harness.receive(viewer, &for_one_server(3));
+    assert_eq!(harness.await_setup(3).0, new);
+    harness.serve(500.0, &[new]);
+    let (name_service, query) = harness.list_queries.last().unwrap().clone();
+    let server = ("s-0000000a.depot-a.hosts", ip.octets(), address.port());
+    harness.node.name_service_datagram(name_service, &dns::list(&query, 9, &[server], &started), harness.now);
+    harness.perform_actions();
+    let (_, cut) = harness.take_written("cause=41").unwrap();
+    assert!(cut.contains("Session: 0000000000000001"), "the old server's session is over: {cut}");
+    harness.receive(new, &setup_response(200, 3, "c=3"));
+    assert_eq!(harness.take_written("c=3").unwrap().0, viewer);
+    // The new server closes its connection as idle.
+    harness.close(new, ConnectionEnd::Closed);
+    harness.serve(1_000.0, &[]);
+    assert_eq!(harness.take_written("cause=41"), None);
+    let newest = *harness.server_connections.keys().last().expect("a connection to the new server");
+    for id in [2, 3] {
+        harness.receive(newest, &release_request(id, 16));
+        assert_eq!(harness.take_written("cause=16").unwrap().0, viewer);
+    }
+}
--- a/crates/sessions/src/engine.rs
+++ b/crates/sessions/src/engine.rs
@@ -87,6 +87,14 @@
         push_placement(id, placement, actions);
     }
 
+    /// A session, or its pending SETUP, turned out to be at another server than the one that was chosen.
+    pub fn move_session(&mut self, id: SessionId, server: ServerId) {
+        let session = self.session_table.sessions.get_mut(&id);
+        if let Some(chosen) = session.and_then(|session| session.server.as_mut()) {
+            *chosen = server;
+        }
+    }
+
     /// The viewer left before an answer. The outcome of an outstanding SETUP must still be reported.
     pub fn viewer_left(&mut self, id: SessionId) {
         self.state.viewer_left(&mut self.session_table, id);
