node: no more sessions are handed over to a server than any server can play

Callers saw: one client that hands over ever new sessions which no server plays delayed usual viewers to p50 213 ms, p99 697 ms (alone 41 and 46), for as long as the node ran, and its memory grew.

Cause: a hand-over was believed whatever their number; the end of a session that doesn't exist is never reported, and each decision walks all sessions.

Change: a server with as many sessions as the largest kind can play gets no further one by hand-over; the request is rejected (400).

Evidence: no_more_sessions_are_handed_over_than_a_server_can_play: 70 sessions on the old code, 35 after. The delay was not measured again: the settings of that play allow 35,000 streams a server.

--- a/crates/node/src/core/viewer_connections.rs
+++ b/crates/node/src/core/viewer_connections.rs
@@ -273,8 +273,7 @@
         };
         if let Some(name) = &setup_request.destination.current_server {
             let server_id = self.servers_by_name.get(name).copied();
-            self.take_over_session(conn, id, server_id, request, now);
-            return Ok(());
+            return self.take_over_session(conn, id, server_id, request, now);
         }
         if setup_request.wait_limit_ms > limits::MAX_WAIT_FACTOR * self.configuration.max_viewer_wait_ms {
             return Err(("time", 400));
@@ -336,7 +335,8 @@
         Ok(())
     }
 
-    /// Takes over a session that plays on a server already, unless this node has it.
+    /// Takes over a session that plays on a server already, unless this node has it. Rejects more sessions than any
+    /// server can play: they don't exist.
     fn take_over_session(
         &mut self,
         conn: ConnectionId,
@@ -344,9 +344,9 @@
         server_id: Option<walnutline::ids::ServerId>,
         request: Request,
         now: Ms,
-    ) {
+    ) -> Result<(), (&'static str, u16)> {
         if self.sessions.contains_key(&id) {
-            return;
+            return Ok(());
         }
         if let Some(viewer) = self.viewers.get_mut(&conn) {
             viewer.has_sent_setup = true;
@@ -356,17 +356,22 @@
             server_id.and_then(|server_id| Some((server_id, self.servers.get_mut(&server_id)?)))
         else {
             // The session ended with its server.
-            return self.release_viewer(id.0, Some(conn), headers::RELEASE_CAUSE_INTERRUPTED, now);
+            self.release_viewer(id.0, Some(conn), headers::RELEASE_CAUSE_INTERRUPTED, now);
+            return Ok(());
         };
         if let Some((_, cause)) = self.early_ends.remove(&id).filter(|(at, _)| *at == server_id) {
             // The server has reported the session's end already and does not report it again.
-            return match cause {
+            match cause {
                 Some(headers::RELEASE_CAUSE_WITHDRAWN) => {}
                 Some(headers::RELEASE_CAUSE_ENDED) => {
                     self.release_viewer(id.0, Some(conn), headers::RELEASE_CAUSE_ENDED, now)
                 }
                 _ => self.release_viewer(id.0, Some(conn), headers::RELEASE_CAUSE_INTERRUPTED, now),
-            };
+            }
+            return Ok(());
+        }
+        if server.sessions.len() as f64 >= self.engine.max_streams_of_a_server() {
+            return Err(("more sessions than a server can play", 400));
         }
         server.sessions.insert(id);
         let stage =
@@ -377,6 +382,7 @@
             self.engine.set_rung(id, rung);
         }
         self.ensure_connection(server_id, now);
+        Ok(())
     }
 
     /// Handles a viewer's teardown, which cancels its request or ends its session.
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -58,6 +58,23 @@
     assert_eq!(harness.take_written("cause=16").unwrap().0, viewer);
 }
 
+/// Guards against memory and decisions that grow without end: a client hands over ever new sessions that no server plays.
+#[test]
+fn no_more_sessions_are_handed_over_than_a_server_can_play() {
+    /// Streams of a server of the fastest kind in the configuration.
+    const MAX_STREAMS: u64 = 35;
+    let mut harness = Harness::new();
+    let viewer = harness.accept_viewer();
+    for id in 1..=2 * MAX_STREAMS {
+        let handed_over = setup_request(id, "").replace("top:4;", "top:4;at:s-00000001;");
+        harness.receive(viewer, &handed_over);
+        let refused = harness.take_written("RTSP/1.0 400").is_some();
+        assert!(id > MAX_STREAMS || !refused, "{id}");
+    }
+    let sessions = harness.node.engine.session_table.sessions.len() as u64;
+    assert!(sessions <= MAX_STREAMS, "{sessions} sessions");
+}
+
 #[test_case("X-Call-Class: board-loop", "X-Call-Class: nobody" ; "unknown class")]
 #[test_case("home:0", "home:12" ; "home cell out of range")]
 #[test_case("copies:2", "copies:0" ; "no copies")]
--- a/crates/sessions/src/engine.rs
+++ b/crates/sessions/src/engine.rs
@@ -121,6 +121,11 @@
         self.state.record_peer_reports(&mut self.session_table, reports, now);
     }
 
+    /// The most sessions that any server can play at once.
+    pub fn max_streams_of_a_server(&self) -> f64 {
+        self.state.settings.max_streams_by_kind.iter().copied().fold(0.0, f64::max)
+    }
+
     /// Records that the current process of a server was already running at the time `since`.
     pub fn confirm_alive(&mut self, server: ServerId, since: Ms) {
         self.state.confirm_alive(server, since);
