platform: a message reader holds memory for what has arrived only

Callers saw: 850 clients in the middle of heads of 16 kB took the process to 37 MB; the least limit that the platform's pages name is 32 MB.

Cause: the buffer of a connection grew by doubling, to 32 kB for such a message, and kept its size as long as a byte was left in it.

Change: it grows by what has arrived and shrinks after each message.

--- a/crates/platform/src/rtsp.rs
+++ b/crates/platform/src/rtsp.rs
@@ -48,9 +48,16 @@
     /// Appends received bytes. Callers drain [`next_message`](Self::next_message) after each call, so that the
     /// buffer never exceeds one message by more than the bytes of one call.
     pub fn push(&mut self, bytes: &[u8]) {
+        // Memory for what has arrived alone: hundreds of peers may each be in the middle of a large message.
+        self.buffer.reserve_exact(bytes.len());
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Number of bytes allocated for the buffer.
+    pub fn allocated_len(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Number of buffered bytes of an incomplete message.
     pub fn buffered_len(&self) -> usize {
         self.buffer.len()
@@ -98,6 +105,7 @@
             return Err(FramingError::BadContentLength);
         }
         self.buffer.drain(..message_len);
+        self.buffer.shrink_to_fit();
         self.follows_body = has_body;
         Ok(Some(message))
     }
--- a/crates/platform/tests/codecs.rs
+++ b/crates/platform/tests/codecs.rs
@@ -138,6 +138,26 @@
     }
 }
 
+/// Guards against a process that exceeds its memory limit: hundreds of peers in the middle of large messages held twice the
+/// memory of what they had sent, and kept it after each message.
+#[test]
+fn reader_holds_memory_for_what_has_arrived_only() {
+    const CHUNK_LEN: usize = 4_096;
+    let message = setup_bytes("9b1f03aa5c7e2d41", &"X: \r\n".repeat(2_600), "");
+    let mut reader = MessageReader::default();
+    let stream = [&message[..], &message[..100]].concat();
+    for chunk in stream.chunks(CHUNK_LEN) {
+        reader.push(chunk);
+        assert!(reader.allocated_len() <= reader.buffered_len() + CHUNK_LEN, "{}", reader.allocated_len());
+        while reader.next_message().unwrap().is_some() {}
+    }
+    assert!(
+        reader.buffered_len() == 100 && reader.allocated_len() <= CHUNK_LEN,
+        "{}",
+        reader.allocated_len()
+    );
+}
+
 /// Blank lines are skipped where they can't belong to a body.
 #[test]
 fn blank_lines_are_skipped_before_a_message_and_behind_one_without_a_body() {
