node: the configuration stays as it was read, whatever zones a list tells

Cause: zones of listed servers were appended to the configuration that a new one is compared with.

Change: zones that the configuration doesn't name are kept beside it. The node writes no other field of its configuration.

--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -97,9 +97,10 @@
 pub struct Node {
     /// Makes the decisions on sessions.
     pub engine: DecisionEngine,
-    /// The configuration in force. Zones of listed servers that it does not name are added to its own.
+    /// The configuration as it was read, with which a new one is compared.
     configuration: Configuration,
-    configured_zone_count: usize,
+    /// Zones of listed servers that the configuration does not name. Their indexes follow its own; unused ones are empty.
+    unconfigured_zones: Vec<String>,
     sessions: BTreeMap<SessionId, Session>,
     viewers: BTreeMap<ConnectionId, Viewer>,
     max_viewer_connections: usize,
@@ -149,7 +150,7 @@
         let max_viewer_connections = limits::max_viewer_connections(configuration.max_sockets, servers.len());
         let mut node = Node {
             engine: DecisionEngine::new(settings, configuration.seed, now),
-            configured_zone_count: configuration.zones.len(),
+            unconfigured_zones: Vec::new(),
             sessions: BTreeMap::new(),
             viewers: BTreeMap::new(),
             max_viewer_connections,
--- a/crates/node/src/core/server_list.rs
+++ b/crates/node/src/core/server_list.rs
@@ -86,14 +86,7 @@
     pub(super) fn replace_server_list(&mut self, records: Vec<ServerRecord>, now: Ms) {
         let mut listed_ids = BTreeSet::new();
         let mut entries = Vec::new();
-        for index in self.configured_zone_count..self.configuration.zones.len() {
-            let name = &self.configuration.zones[index];
-            let known_servers = self.engine.state.fleet.servers.values();
-            let in_use = known_servers.map(|s| usize::from(s.entry.zone.0)).any(|zone| zone == index);
-            if !in_use && records.iter().all(|r| r.zone != *name) {
-                self.configuration.zones[index] = String::new();
-            }
-        }
+        self.forget_unused_zones(&records);
         for record in records {
             let id = self.update_server(&record, now);
             listed_ids.insert(id);
@@ -121,17 +114,32 @@
         self.cancel_unsent_setups(now);
     }
 
-    /// Returns the index of a zone. A zone that the settings do not name gets one of its own: under another
+    /// Frees the indexes of zones that the configuration does not name and in which no server is left.
+    fn forget_unused_zones(&mut self, records: &[ServerRecord]) {
+        let configured_count = self.configuration.zones.len();
+        for (position, name) in self.unconfigured_zones.iter_mut().enumerate() {
+            let index = configured_count + position;
+            let known_servers = self.engine.state.fleet.servers.values();
+            let in_use = known_servers.map(|s| usize::from(s.entry.zone.0)).any(|zone| zone == index);
+            if !in_use && records.iter().all(|r| r.zone != *name) {
+                name.clear();
+            }
+        }
+    }
+
+    /// Returns the index of a zone. A zone that the configuration does not name gets one of its own: under another
     /// zone's index, retries that have to stay within a zone could leave it. The index is reused once no
     /// server is left in the zone.
     fn zone_index(&mut self, name: &str) -> ZoneIndex {
-        let zones = &mut self.configuration.zones;
-        let index = zones.iter().position(|z| *z == name).unwrap_or_else(|| {
-            let free = (self.configured_zone_count..zones.len()).find(|n| zones[*n].is_empty());
-            let index = free.unwrap_or(zones.len());
-            zones.resize_with(zones.len().max(index + 1), String::new);
-            zones[index] = name.to_owned();
-            index
+        let configured_zones = &self.configuration.zones;
+        let zones = &mut self.unconfigured_zones;
+        let index = configured_zones.iter().position(|zone| zone == name).unwrap_or_else(|| {
+            let known = zones.iter().position(|zone| zone == name);
+            let free = known.or_else(|| zones.iter().position(String::is_empty));
+            let position = free.unwrap_or(zones.len());
+            zones.resize_with(zones.len().max(position + 1), String::new);
+            zones[position] = name.to_owned();
+            configured_zones.len() + position
         });
         ZoneIndex(u16::try_from(index).unwrap_or(u16::MAX))
     }
--- a/crates/node/tests/lists.rs
+++ b/crates/node/tests/lists.rs
@@ -4,6 +4,7 @@
 #[allow(dead_code)]
 mod support;
 
+use std::collections::BTreeSet;
 use support::{setup_request, setup_response, Harness, CONFIGURATION};
 use test_case::test_case;
 use walnutline_node::actions::ConnectionEnd;
@@ -70,6 +71,29 @@
     assert_eq!(reported_servers(&harness), before + 1, "a report from the last node is accepted");
 }
 
+/// Guards against a new configuration that is refused for what a list has told: a server joined in a zone that the settings
+/// don't name, and the old name service was asked for good.
+#[test]
+fn configuration_is_applied_after_a_server_has_joined_in_a_zone_that_it_does_not_name() {
+    let mut harness = Harness::new();
+    harness.advance(500.0);
+    let (name_service, query) = harness.list_queries.last().unwrap().clone();
+    let servers = ["s-00000001.depot-a.hosts", "s-0000000a.depot-c.hosts"];
+    let servers = [(servers[0], [127, 0, 0, 1], 5_061), (servers[1], [10, 1, 0, 9], 5_060)];
+    let answer = dns::list(&query, 9, &servers, "started=0");
+    harness.node.name_service_datagram(name_service, &answer, harness.now);
+    harness.advance(1_000.0);
+    let zones: BTreeSet<u16> =
+        harness.node.engine.state.fleet.servers.values().map(|server| server.entry.zone.0).collect();
+    assert_eq!(zones, BTreeSet::from([0, 2]));
+    let document = CONFIGURATION.replace("127.0.0.1:1053", "127.0.0.2:1054");
+    harness
+        .node
+        .apply_configuration(walnutline_platform::configuration::parse(&document).unwrap(), harness.now);
+    harness.perform_actions();
+    assert_eq!(harness.list_queries.last().unwrap().0, "127.0.0.2:1054".parse().unwrap());
+}
+
 /// After a long outage of the name service, a list arrives in which every server is new, while a SETUP is
 /// open at a server that it drops. The server's response still counts; when its connection closes instead, a
 /// new server is tried.
